--- /dev/null
+++ b/egretworks/callport.py
@@ -0,0 +1,211 @@
+"""Listen for callers and answer their requests one after another on each connection."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+from collections.abc import Callable
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from egretworks.clock import Clock, Millis, seconds
+from egretworks.config import CallSettings
+from egretworks.exceptions import BadRequest, CallError, NotReady
+from egretworks.httpwire import (
+    RECEIVE_BYTES,
+    Request,
+    RequestReader,
+    Response,
+    encode_response,
+    error_response,
+)
+
+BACKLOG = 1_024
+LINGER_MS = 300
+DRAIN_POLL_MS = 20
+
+log = logging.getLogger(__name__)
+
+
+class CallPort:
+    """Serve callers on `host` and `port` by `serve`, within the bounds of `settings`."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        settings: CallSettings,
+        clock: Clock,
+        serve: Callable[[Request], Response],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._serve = serve
+        self._listener = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((host, port))
+        self._listener.listen(BACKLOG)
+        self._connections: set[_Connection] = set()
+        self._stopping = False
+
+    def run(self) -> None:
+        """Accept connections until the port is closed."""
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                if self._stopping:
+                    return
+                eventlet.sleep(seconds(DRAIN_POLL_MS))
+                continue
+            self._take(sock)
+
+    def drain(self, longest_ms: float) -> None:
+        """Stop accepting, end each connection after its request in hand, and return.
+
+        A connection that is idle stays open for `LINGER_MS`, since a request may be on its way.
+        Connections that are still busy after `longest_ms` are closed.
+        """
+        self._stopping = True
+        self._accept_backlog()
+        self._listener.close()
+        for connection in self._connections:
+            connection.stopping = True
+        with eventlet.Timeout(seconds(longest_ms), False):
+            eventlet.sleep(seconds(LINGER_MS))
+            while self._connections:
+                for connection in [c for c in self._connections if c.idle]:
+                    connection.close()
+                eventlet.sleep(seconds(DRAIN_POLL_MS))
+        for connection in list(self._connections):
+            connection.close()
+
+    def _accept_backlog(self) -> None:
+        """Accept the connections that callers have opened and nobody has taken yet."""
+        self._listener.settimeout(0)
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            sock.settimeout(None)
+            self._take(sock)
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many callers are connected."""
+        return len(self._connections)
+
+    def _take(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if len(self._connections) >= self._settings.max_connections:
+            eventlet.spawn_n(_refuse, sock, NotReady("too many connections"))
+            return
+        connection = _Connection(sock, self._settings, self._clock, self._serve)
+        connection.stopping = self._stopping
+        self._connections.add(connection)
+        eventlet.spawn_n(self._run_connection, connection)
+
+    def _run_connection(self, connection: _Connection) -> None:
+        try:
+            connection.run()
+        except OSError as error:
+            log.debug("a caller's connection ended: %s", error)
+        finally:
+            connection.close()
+            self._connections.discard(connection)
+
+
+class _Connection:
+    def __init__(
+        self,
+        sock: socket.socket,
+        settings: CallSettings,
+        clock: Clock,
+        serve: Callable[[Request], Response],
+    ) -> None:
+        self._sock = sock
+        self._settings = settings
+        self._serve = serve
+        self._reader = RequestReader(settings.max_body_bytes)
+        self._busy = False
+        self._begun_at: Millis | None = None
+        self._clock = clock
+        self.stopping = False
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no request is in hand or on its way in."""
+        return not self._busy and not self._reader.begun
+
+    def run(self) -> None:
+        """Answer requests until the caller or a planned stop ends the connection."""
+        while True:
+            try:
+                request = self._receive()
+            except CallError as error:
+                self._send(error_response(error), None)
+                return
+            if request is None:
+                return
+            self._busy = True
+            response = self._serve(request)
+            if self.stopping:
+                response.keep_alive = False
+            self._send(response, request)
+            self._busy = False
+            if not request.keep_alive or not response.keep_alive:
+                return
+
+    def close(self) -> None:
+        """Close the connection."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def _receive(self) -> Request | None:
+        request = self._reader.next()
+        self._begun_at = None
+        while request is None:
+            data = self._read(self._wait_ms())
+            if not data:
+                return None
+            self._reader.feed(data)
+            request = self._reader.next()
+        return request
+
+    def _wait_ms(self) -> float:
+        """Return how long the caller may take: a whole request has one limit, not each part."""
+        if not self._reader.begun:
+            return self._settings.idle_ms
+        now = self._clock.now()
+        if self._begun_at is None:
+            self._begun_at = now
+        return self._begun_at + self._settings.receive_ms - now
+
+    def _read(self, wait_ms: float) -> bytes:
+        timeout = eventlet.Timeout(seconds(wait_ms))
+        try:
+            return self._sock.recv(RECEIVE_BYTES)
+        except eventlet.Timeout as expired:
+            if expired is not timeout:
+                raise
+            if self._reader.begun:
+                raise BadRequest("the rest of the request didn't come in time") from None
+            return b""
+        finally:
+            timeout.cancel()
+
+    def _send(self, response: Response, request: Request | None) -> None:
+        self._sock.sendall(encode_response(response, request))
+
+
+def _refuse(sock: socket.socket, error: CallError) -> None:
+    try:
+        sock.sendall(encode_response(error_response(error), None))
+    except OSError as failure:
+        log.debug("a refusal could not be sent: %s", failure)
+    finally:
+        sock.close()
--- /dev/null
+++ b/egretworks/cmdline.py
@@ -0,0 +1,192 @@
+"""Run the operators' command line `egretctl`."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import defopt
+
+from egretworks.config import read_client_settings
+from egretworks.control import EventFilter, OperatorClient, TicketStanding
+from egretworks.exceptions import EgretError
+from egretworks.ledger import parse_number
+from egretworks.tables import as_json, as_table, as_time
+from egretworks.tickets import Ticket
+from egretworks.types import TicketNumber
+
+DEFAULT_SETTINGS = Path("egretctl.toml")
+EVENT_LIMIT = 200
+TICKET_LIMIT = 50
+
+
+def file(path: Path, *, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> None:
+    """File the ticket in a TOML or JSON file and print its number.
+
+    :param path: the ticket's file
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    _print_ticket(_client(settings).file(path), json)
+
+
+def accept(number: str, *, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> None:
+    """Accept a ticket, which puts it in force everywhere.
+
+    :param number: the ticket's number
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    _print_ticket(_client(settings).accept(parse_number(number)), json)
+
+
+def withdraw(number: str, *, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> None:
+    """Withdraw a ticket that hasn't been accepted.
+
+    :param number: the ticket's number
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    _print_ticket(_client(settings).withdraw(parse_number(number)), json)
+
+
+def show(number: str, *, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> None:
+    """Show a ticket and where it stands at each daemon.
+
+    :param number: the ticket's number
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    standing = _client(settings).standing(parse_number(number))
+    _print(standing, _standing_text(standing), json)
+
+
+def list_tickets(
+    *,
+    after: int = 0,
+    limit: int = TICKET_LIMIT,
+    settings: Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> None:
+    """List tickets by number.
+
+    :param after: list tickets above this number
+    :param limit: list this many at most
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    tickets = _client(settings).tickets(after=TicketNumber(after), limit=limit)
+    rows = [(t.number, t.state.value, t.version or "-", t.body.title) for t in tickets]
+    _print(tickets, as_table(("ticket", "state", "version", "title"), rows), json)
+
+
+def fleet(*, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> None:
+    """List the daemons by data centre, with their targets and the version in force.
+
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    members = _client(settings).fleet()
+    rows = [
+        (m.data_centre, m.daemon, m.state, m.version, " ".join(m.targets) or "-") for m in members
+    ]
+    headings = ("data centre", "daemon", "state", "version", "targets")
+    _print(members, as_table(headings, rows), json)
+
+
+def timeline(
+    *,
+    ticket: int = 0,
+    target: str = "",
+    call: str = "",
+    key: str = "",
+    limit: int = EVENT_LIMIT,
+    settings: Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> None:
+    """Print the events of all daemons in the order of their clocks.
+
+    :param ticket: only events of this ticket
+    :param target: only events of this target
+    :param call: only events of this call
+    :param key: only events of this once-only key
+    :param limit: print this many at most, the newest
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    page = _client(settings).timeline(EventFilter(ticket, target, call, key), limit)
+    rows = [
+        (
+            as_time(e.at_ms),
+            e.instance,
+            e.kind,
+            e.ticket or "-",
+            e.version or "-",
+            e.target or e.call or e.key or "-",
+            e.detail,
+        )
+        for e in page.events
+    ]
+    headings = ("time (UTC)", "instance", "event", "ticket", "version", "subject", "detail")
+    text = as_table(headings, rows)
+    for missing in page.missing:
+        text += f"\nno answer from {missing.address}: {missing.reason}"
+    _print(page, text, json)
+
+
+COMMANDS_BY_NAME = {
+    "file": file,
+    "accept": accept,
+    "withdraw": withdraw,
+    "show": show,
+    "list": list_tickets,
+    "fleet": fleet,
+    "timeline": timeline,
+}
+
+
+def main() -> None:
+    """Run `egretctl` and exit with a documented status."""
+    try:
+        defopt.run(COMMANDS_BY_NAME)
+    except EgretError as error:
+        print(f"egretctl: {error.code}: {error.message}", file=sys.stderr)
+        if error.next_step:
+            print(f"egretctl: next: {error.next_step}", file=sys.stderr)
+        sys.exit(error.exit_status)
+
+
+def _client(settings: Path) -> OperatorClient:
+    return OperatorClient(read_client_settings(settings))
+
+
+def _print(document: Any, text: str, json: bool) -> None:
+    print(as_json(document) if json else text)
+
+
+def _print_ticket(ticket: Ticket, json: bool) -> None:
+    version = f" at version {ticket.version}" if ticket.version else ""
+    _print(ticket, f"ticket {ticket.number}: {ticket.state.value}{version}", json)
+
+
+def _standing_text(standing: TicketStanding) -> str:
+    ticket = standing.ticket
+    lines = [
+        f"ticket {ticket.number}: {ticket.body.title}",
+        f"state: {ticket.state.value}",
+        f"filed: {as_time(ticket.filed_at_ms)} by {ticket.writer.rpartition('-')[0]}",
+    ]
+    if ticket.version:
+        lines.append(f"version: {ticket.version}")
+    lines.append(f"in force at {standing.in_force} of {standing.daemons} daemons")
+    rows = [
+        (s.data_centre, s.daemon, s.version, "yes" if s.in_force else "no", s.state, s.refused)
+        for s in standing.standings
+    ]
+    headings = ("data centre", "daemon", "version", "in force", "state", "refused")
+    return "\n".join(lines) + "\n" + as_table(headings, rows)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/egretworks/daemon.py
@@ -0,0 +1,171 @@
+"""Put a daemon together from its parts, run it and stop it without cutting a request."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import eventlet
+
+from egretworks import announcing, reporting, spreading, watching
+from egretworks.blackboard import Blackboard
+from egretworks.callport import CallPort
+from egretworks.clock import SystemClock, seconds
+from egretworks.config import Settings
+from egretworks.controllers import Links, controller, start_all
+from egretworks.dispatch import Dispatcher
+from egretworks.exceptions import SettingsError
+from egretworks.gossip import GossipSocket
+from egretworks.ledger import Ledger
+from egretworks.membership import Membership
+from egretworks.messages import (
+    MemberRow,
+    MembersReply,
+    MembersRequest,
+    SyncReply,
+    SyncRequest,
+)
+from egretworks.metrics import Metrics
+from egretworks.objects import ObjectStore
+from egretworks.operatorport import OperatorPort
+from egretworks.peers import PeerClient, PeerServer
+from egretworks.timeline import Timeline
+from egretworks.types import InstanceId, WriterMark
+from egretworks.upstream import Upstream
+
+HOUSEKEEPING_MS = 1_000
+WAKE_MS = 50
+# The others learn within this time that a daemon is leaving, before it stops accepting calls.
+LEAVE_SPREAD_MS = 200
+
+CONTROLLER_MODULES = (announcing, reporting, spreading, watching)
+
+log = logging.getLogger(__name__)
+
+
+class Daemon:
+    """Run one daemon by `settings`."""
+
+    def __init__(self, settings: Settings) -> None:
+        instance = settings.instance
+        self.clock = SystemClock()
+        self.random = random.Random()
+        own = MemberRow(
+            id=instance.id,
+            data_centre=instance.data_centre,
+            host=instance.host,
+            peer_port=instance.peer_port,
+            operator_port=instance.operator_port,
+            incarnation=int(self.clock.wall()),
+            serial=0,
+        )
+        timeline = Timeline(InstanceId(instance.id), self.clock)
+        membership = Membership(own, self.random)
+        self.board = Blackboard(settings, self.clock, self.random, membership, timeline)
+        self.metrics = Metrics()
+        self.upstream = Upstream(
+            self.clock,
+            connect_ms=settings.calls.connect_ms,
+            max_body_bytes=settings.calls.max_body_bytes,
+        )
+        self.dispatcher = Dispatcher(self.board, self.upstream, self.metrics)
+        self._open_ports()
+
+    def run(self) -> None:
+        """Start everything and return once the daemon has stopped."""
+        self._stopped = eventlet.event.Event()
+        self.board.timeline.record("started")
+        eventlet.spawn_n(self.gossip.run)
+        eventlet.spawn_n(self.operator_port.run)
+        eventlet.spawn_n(self.call_port.run)
+        eventlet.spawn_n(self._keep_house)
+        eventlet.spawn_n(self._wake_waiting)
+        start_all(self.board, self.links)
+        self._stopped.wait()
+
+    def stop(self) -> None:
+        """Drain and stop; a second call changes nothing."""
+        if self.board.stopping:
+            return
+        self.board.stopping = True
+        self.board.timeline.record("stopping")
+        eventlet.spawn_n(self._drain)
+
+    def _drain(self) -> None:
+        self.gossip.send(self.board.membership.leave())
+        eventlet.sleep(seconds(LEAVE_SPREAD_MS))
+        self.call_port.drain(self.board.settings.calls.drain_ms)
+        self.board.timeline.record("stopped")
+        self.operator_port.close()
+        self.peer_server.stop()
+        self.gossip.close()
+        self._stopped.send()
+
+    def _open_ports(self) -> None:
+        """Take the ports, or raise `SettingsError` naming the one that is taken."""
+        board = self.board
+        instance = board.settings.instance
+        platform = board.settings.platform
+        try:
+            self.gossip = GossipSocket(
+                instance.host,
+                instance.peer_port,
+                self.clock,
+                lambda message: spreading.receive(board, message),
+            )
+            store = ObjectStore(platform.address, timeout_ms=platform.timeout_ms)
+            ledger = Ledger(store, self.clock, self._new_mark)
+            self.links = Links(store, ledger, PeerClient(), self.gossip)
+            self.peer_server = PeerServer(instance.host, instance.peer_port)
+            self._register_answers()
+            self.peer_server.start()
+            self.operator_port = OperatorPort(board, self.links, self.dispatcher, self.metrics)
+            self.call_port = CallPort(
+                instance.host,
+                instance.call_port,
+                board.settings.calls,
+                self.clock,
+                self.dispatcher.serve,
+            )
+        except OSError as error:
+            raise SettingsError(
+                f"a port of instance {instance.id!r} can't be opened: {error}",
+                next_step="see that no other process holds the ports under [instance]",
+            ) from error
+
+    def _register_answers(self) -> None:
+        board = self.board
+        self.peer_server.register(
+            spreading.SYNC,
+            SyncRequest,
+            SyncReply,
+            lambda request: spreading.answer_sync(board, request),
+        )
+        self.peer_server.register(
+            spreading.MEMBERS,
+            MembersRequest,
+            MembersReply,
+            lambda request: spreading.answer_members(board, request),
+        )
+
+    def _new_mark(self) -> WriterMark:
+        return WriterMark(f"{self.board.own_id}-{self.random.getrandbits(64):x}")
+
+    def _keep_house(self) -> None:
+        while not self.board.stopping:
+            eventlet.sleep(seconds(HOUSEKEEPING_MS))
+            self.upstream.close_idle()
+
+    def _wake_waiting(self) -> None:
+        """Look again for room, which also comes when a target announces or recovers."""
+        while True:
+            eventlet.sleep(seconds(WAKE_MS))
+            self.dispatcher.retry_waiting()
+
+
+def make_daemon(settings: Settings) -> Daemon:
+    """Return a daemon whose ports are open, or raise `SettingsError`."""
+    return Daemon(settings)
+
+
+__all__ = ["CONTROLLER_MODULES", "Daemon", "controller", "make_daemon"]
--- /dev/null
+++ b/egretworks/dispatch.py
@@ -0,0 +1,257 @@
+"""Carry one call: find its route, get a place at a target, attempt, retry, answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eventlet.event
+
+from egretworks.admission import Entry, Offered, ServicePool, Waiter
+from egretworks.blackboard import Blackboard, KnownTarget
+from egretworks.clock import Millis, seconds
+from egretworks.deadlines import CallContext, context_headers, read_context
+from egretworks.exceptions import (
+    AttemptTimeout,
+    CallError,
+    ConnectFailed,
+    DeadlineExceeded,
+    NoRoute,
+    NotReady,
+    Overloaded,
+    TargetRefused,
+)
+from egretworks.httpwire import (
+    NOT_RUN_HEADER,
+    Request,
+    Response,
+    encode_request,
+    error_response,
+)
+from egretworks.metrics import Metrics
+from egretworks.resources import Route
+from egretworks.retry import RetryBudget, retry_delay_ms
+from egretworks.routing import RouteTable
+from egretworks.state import MeshState
+from egretworks.types import Repeat, ServiceName, TargetId
+from egretworks.upstream import Upstream
+
+Attempts = Callable[[], Response]
+
+
+class Call:
+    """Hold one call while it is carried."""
+
+    def __init__(self, request: Request, route: Route, context: CallContext) -> None:
+        self.request = request
+        self.route = route
+        self.context = context
+        self.tried: frozenset[TargetId] = frozenset()
+
+
+class Dispatcher:
+    """Carry the calls of one daemon."""
+
+    def __init__(self, board: Blackboard, upstream: Upstream, metrics: Metrics) -> None:
+        self._board = board
+        self._upstream = upstream
+        self._metrics = metrics
+        self._state: MeshState | None = None
+        self._routes = RouteTable(())
+        self._pools_by_service: dict[ServiceName, ServicePool] = {}
+        self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
+        self._offered_by_service: dict[ServiceName, list[KnownTarget]] = {}
+        self._granted_by_waiter: dict[Waiter, eventlet.event.Event] = {}
+        self._serial = 0
+        self.in_hand = 0
+        self.once: Callable[[Call, Attempts], Response] | None = None
+
+    def serve(self, request: Request) -> Response:
+        """Return the answer to `request`, be it the target's or an error of our own."""
+        started = self._board.clock.now()
+        self.in_hand += 1
+        try:
+            response = self._serve(request, started)
+            self._metrics.count("calls_answered")
+        except CallError as error:
+            self._metrics.count("calls_refused" if error.not_run else "calls_failed")
+            self._metrics.count(f"errors_{error.code.replace('.', '_')}")
+            response = error_response(error)
+        finally:
+            self.in_hand -= 1
+        self._metrics.observe("call", self._board.clock.now() - started)
+        return response
+
+    def retry_waiting(self) -> None:
+        """Give places to waiting calls where targets or limits have changed."""
+        for service in list(self._pools_by_service):
+            self._wake(self._pool(service))
+
+    def waiting(self) -> int:
+        """Return how many calls wait for a place."""
+        return sum(pool.waiting() for pool in self._pools_by_service.values())
+
+    def _serve(self, request: Request, now: Millis) -> Response:
+        board = self._board
+        if not board.ready:
+            raise NotReady("this daemon has no configuration in force yet")
+        self._follow_state()
+        route = self._routes.find(request.header(b"host"), request.path, request.method)
+        if route is None:
+            raise NoRoute(f"no route matches {request.method} {request.path[:100]}")
+        self._serial += 1
+        context = read_context(
+            request,
+            now,
+            route.timeout_ms,
+            board.settings.calls.max_depth,
+            f"{board.own_id}-{board.membership.own.incarnation:x}-{self._serial:x}",
+        )
+        call = Call(request, route, context)
+        if route.repeat is Repeat.ONCE:
+            return self._serve_once(call)
+        return self._attempts(call)
+
+    def _serve_once(self, call: Call) -> Response:
+        if self.once is None:
+            raise NotReady("once-only calls can't be recorded yet")
+        return self.once(call, lambda: self._attempts(call))
+
+    def _attempts(self, call: Call) -> Response:
+        """Attempt the call until it is answered, or no further attempt may be made."""
+        budget = self._budget(ServiceName(call.route.service))
+        budget.earn(call.route.retry.budget_percent)
+        attempt = 1
+        while True:
+            self._metrics.count("attempts")
+            try:
+                return self._attempt(call)
+            except CallError as error:
+                delay = retry_delay_ms(
+                    error,
+                    attempt,
+                    call.route.retry,
+                    call.route.repeat,
+                    budget,
+                    self._board.clock.now(),
+                    call.context.deadline,
+                    self._board.random,
+                )
+                if delay is None:
+                    raise
+            self._metrics.count("retries")
+            eventlet.sleep(seconds(delay))
+            attempt += 1
+
+    def _attempt(self, call: Call) -> Response:
+        pool = self._pool(ServiceName(call.route.service))
+        entry = self._enter(pool, call)
+        call.tried |= {TargetId(entry.offered.row.id)}
+        started = self._board.clock.now()
+        try:
+            response = self._exchange(entry, call)
+        except CallError as error:
+            self._note_failure(entry, error, started)
+            raise
+        finally:
+            pool.leave(entry)
+            self._wake(pool)
+        took_ms = self._board.clock.now() - started
+        entry.load.succeeded(entry.work, took_ms, self._board.clock.now())
+        self._metrics.observe("attempt", took_ms)
+        return response
+
+    def _exchange(self, entry: Entry, call: Call) -> Response:
+        now = self._board.clock.now()
+        if call.context.left_ms(now) <= 0:
+            raise DeadlineExceeded("the deadline passed before the request was sent")
+        row = entry.offered.row
+        data = encode_request(
+            call.request,
+            call.request.header(b"host") or row.service,
+            context_headers(call.context, now),
+        )
+        response = self._upstream.exchange(
+            (row.host, row.port),
+            call.request.method,
+            data,
+            call.context.deadline,
+            fresh=call.route.repeat is Repeat.ONCE,
+        )
+        if response.status == 503 and response.header(NOT_RUN_HEADER) == "true":
+            raise TargetRefused(f"target {row.id} refused the request without running it")
+        return response
+
+    def _note_failure(self, entry: Entry, error: CallError, started: Millis) -> None:
+        now = self._board.clock.now()
+        if isinstance(error, TargetRefused):
+            entry.load.shed()
+        elif isinstance(error, ConnectFailed):
+            entry.load.failed(now)
+        elif isinstance(error, AttemptTimeout):
+            entry.load.timed_out(now - started, now)
+
+    def _enter(self, pool: ServicePool, call: Call) -> Entry:
+        """Return a place at a target, after a wait in the queue where none is free."""
+        now = self._board.clock.now()
+        entry = pool.enter(call.route.work, now, call.tried)
+        if entry is not None:
+            return entry
+        waiter = pool.wait(call.route.work, now, call.context.deadline)
+        if waiter is None:
+            raise Overloaded(f"service {pool.service.name}: the queue is full")
+        return self._wait(pool, waiter)
+
+    def _wait(self, pool: ServicePool, waiter: Waiter) -> Entry:
+        granted = eventlet.event.Event()
+        self._granted_by_waiter[waiter] = granted
+        left_ms = waiter.expires_at - self._board.clock.now()
+        try:
+            with eventlet.Timeout(seconds(left_ms), False):
+                granted.wait()
+        finally:
+            del self._granted_by_waiter[waiter]
+            if waiter.entry is None:
+                pool.give_up(waiter)
+        if waiter.entry is None:
+            reason = "no target is free" if pool.has_targets() else "no target has announced"
+            raise Overloaded(f"service {pool.service.name}: {reason}")
+        return waiter.entry
+
+    def _wake(self, pool: ServicePool) -> None:
+        if not pool.waiting():
+            return
+        for waiter in pool.admit_waiting(self._board.clock.now()):
+            granted = self._granted_by_waiter.get(waiter)
+            if granted is None:
+                pool.leave(waiter.entry)
+            else:
+                granted.send()
+
+    def _pool(self, service: ServiceName) -> ServicePool:
+        pool = self._pools_by_service[service]
+        known = self._board.targets_of(service)
+        if self._offered_by_service.get(service) is not known:
+            self._offered_by_service[service] = known
+            pool.offer([self._offered(target) for target in known])
+        return pool
+
+    def _offered(self, target: KnownTarget) -> Offered:
+        near = target.member.data_centre == self._board.data_centre
+        return Offered(target.row, near, target.member.state)
+
+    def _budget(self, service: ServiceName) -> RetryBudget:
+        return self._budgets_by_service.setdefault(service, RetryBudget())
+
+    def _follow_state(self) -> None:
+        """Rebuild the route table when another version has come into force."""
+        state = self._board.in_force.state
+        if state is self._state:
+            return
+        self._state = state
+        self._routes = RouteTable(state.routes_by_name.values())
+        for name, service in state.services_by_name.items():
+            pool = self._pools_by_service.get(ServiceName(name))
+            if pool is None:
+                self._pools_by_service[ServiceName(name)] = ServicePool(service, self._board.random)
+            else:
+                pool.service = service
--- /dev/null
+++ b/egretworks/httpwire.py
@@ -0,0 +1,264 @@
+"""Read and write HTTP/1.1 messages, whole, through the httptools parser."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from http import HTTPStatus
+
+import httptools
+import msgspec
+
+from egretworks.exceptions import BadRequest, CallError, OutcomeUnknown
+
+MAX_HEADER_BYTES = 32_768
+RECEIVE_BYTES = 65_536
+
+NOT_RUN_HEADER = b"Egret-Not-Run"
+ERROR_HEADER = b"Egret-Error"
+
+Headers = list[tuple[bytes, bytes]]
+
+# These concern one connection and are not passed on.
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+
+class Request(msgspec.Struct):
+    """Hold a whole request; header names are in lower case."""
+
+    method: str
+    url: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+
+    def header(self, name: bytes) -> str:
+        """Return the first header called `name` in lower case, or an empty text."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return ""
+
+    @property
+    def path(self) -> str:
+        """Return the path with its query."""
+        return self.url.decode("latin-1")
+
+
+class Response(msgspec.Struct):
+    """Hold a whole answer; header names are as the target wrote them."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    keep_alive: bool = True
+
+    def header(self, name: bytes) -> str:
+        """Return the first header called `name`, whatever its case, or an empty text."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value.decode("latin-1")
+        return ""
+
+
+class RequestReader:
+    """Assemble the requests of one connection, in bounded memory."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._ready: deque[Request] = deque()
+        self._start()
+
+    @property
+    def begun(self) -> bool:
+        """Return whether part of a request has come."""
+        return self._header_bytes > 0
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes, or raise `BadRequest`."""
+        if not self._headers_done:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise BadRequest("protocol upgrades aren't carried") from error
+        except httptools.HttpParserCallbackError as error:
+            raise BadRequest(str(error.__context__ or error)) from error
+        except httptools.HttpParserError as error:
+            raise BadRequest(f"the request can't be read: {error}") from error
+        if not self._headers_done and self._header_bytes > MAX_HEADER_BYTES:
+            raise BadRequest(f"the headers are over {MAX_HEADER_BYTES} bytes")
+
+    def next(self) -> Request | None:
+        """Return the next whole request, or None."""
+        return self._ready.popleft() if self._ready else None
+
+    def _start(self) -> None:
+        self._url = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+        self._headers_done = False
+
+    # The parser calls these.
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the URL."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Refuse a body that is announced to be too large."""
+        self._headers_done = True
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > self._max_body_bytes:
+                raise BadRequest(f"the body is over {self._max_body_bytes} bytes")
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._max_body_bytes:
+            raise BadRequest(f"the body is over {self._max_body_bytes} bytes")
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Make the request ready."""
+        self._ready.append(
+            Request(
+                method=self._parser.get_method().decode("ascii"),
+                url=self._url,
+                headers=self._headers,
+                body=b"".join(self._body),
+                keep_alive=self._parser.should_keep_alive(),
+            )
+        )
+        self._start()
+
+
+class ResponseReader:
+    """Assemble one answer, in bounded memory, and know whether it is whole."""
+
+    def __init__(self, method: str, max_body_bytes: int) -> None:
+        self._without_body = method == "HEAD"
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._interim = False
+        self.response: Response | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes, or raise `OutcomeUnknown` where they aren't an answer."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self.response is None:
+                raise OutcomeUnknown(f"the answer can't be read: {error}") from error
+            self.response.keep_alive = False
+
+    def on_message_begin(self) -> None:
+        """Give up a connection that brings more than the one answer."""
+        if self.response is not None:
+            self.response.keep_alive = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """End an answer that has no body."""
+        self._interim = self._parser.get_status_code() < 200
+        if self._without_body and not self._interim:
+            self._finish(keep_alive=False)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._max_body_bytes:
+            raise OutcomeUnknown(f"the answer is over {self._max_body_bytes} bytes")
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """End an answer whose body is whole, or skip an interim one."""
+        if self._interim:
+            self._headers = []
+            return
+        if self.response is None:
+            self._finish(keep_alive=self._parser.should_keep_alive())
+
+    def _finish(self, *, keep_alive: bool) -> None:
+        self.response = Response(
+            status=self._parser.get_status_code(),
+            headers=self._headers,
+            body=b"".join(self._body),
+            keep_alive=keep_alive,
+        )
+
+
+def encode_request(request: Request, host: str, extra: Headers) -> bytes:
+    """Return `request` as bytes for a target, with the headers `extra` in place of the same."""
+    replaced = {name.lower() for name, _ in extra}
+    lines = [request.method.encode("ascii") + b" " + request.url + b" HTTP/1.1"]
+    lines.append(b"Host: " + host.encode("ascii"))
+    for name, value in request.headers:
+        if name not in HOP_HEADERS and name != b"host" and name not in replaced:
+            lines.append(name + b": " + value)
+    lines += [name + b": " + value for name, value in extra]
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def encode_response(response: Response, request: Request | None) -> bytes:
+    """Return `response` as bytes for the caller."""
+    lines = [b"HTTP/1.1 %d %s" % (response.status, _phrase(response.status))]
+    head = request is not None and request.method == "HEAD"
+    for name, value in response.headers:
+        lowered = name.lower()
+        if lowered not in HOP_HEADERS or (head and lowered == b"content-length"):
+            lines.append(name + b": " + value)
+    without_body = response.status in (204, 304) or head
+    if not without_body:
+        lines.append(b"Content-Length: %d" % len(response.body))
+    if request is None or not request.keep_alive or not response.keep_alive:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if without_body else response.body)
+
+
+def error_response(error: CallError, extra: Headers | None = None) -> Response:
+    """Return `error` as an answer, marked where the request was truly not run."""
+    headers: Headers = [(b"Content-Type", b"application/json"), *(extra or [])]
+    headers.append((ERROR_HEADER, error.code.encode("ascii")))
+    if error.not_run:
+        headers.append((NOT_RUN_HEADER, b"true"))
+    if error.http_status == 503:
+        headers.append((b"Retry-After", b"1"))
+    body = {"error": error.code, "message": error.message, "not_run": error.not_run}
+    return Response(error.http_status, headers, json.dumps(body).encode())
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode("ascii")
+    except ValueError:
+        return b"Unknown"
--- /dev/null
+++ b/egretworks/peers.py
@@ -0,0 +1,186 @@
+"""Carry requests between daemons by gRPC, with messages encoded by msgspec."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import eventlet.asyncio
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from egretworks.clock import seconds
+from egretworks.exceptions import EgretError, PeerError, PeerRefused
+
+REQUEST_TIMEOUT_MS = 2_000
+MAX_CHANNELS = 64
+_SERVICE = "/egretworks.Peer/"
+
+
+class MsgpackCodec(CodecBase):
+    """Encode msgspec structures as the messages of gRPC."""
+
+    __content_subtype__ = "msgpack"
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return `message` as bytes."""
+        return self._encoder.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return `data` as a `message_type`."""
+        return msgspec.msgpack.decode(data, type=message_type)
+
+
+class _Method(msgspec.Struct, frozen=True):
+    request: type
+    reply: type
+    answer: Callable[[Any], Any]
+
+
+class PeerServer:
+    """Answer the other daemons' requests on `host` and `port`."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._methods_by_name: dict[str, _Method] = {}
+        self._server: Server | None = None
+
+    def register(self, name: str, request: type, reply: type, answer: Callable[[Any], Any]) -> None:
+        """Answer the requests called `name` with `answer`, a green function."""
+        self._methods_by_name[name] = _Method(request, reply, answer)
+
+    def start(self) -> None:
+        """Listen, or raise `OSError` where the port is taken."""
+        self._server = Server([self], codec=MsgpackCodec())
+        _wait(self._server.start(self._host, self._port))
+
+    def stop(self) -> None:
+        """Close the port and end the requests in hand."""
+        if self._server is not None:
+            self._server.close()
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers, as grpclib asks for them."""
+        return {
+            _SERVICE
+            + name: Handler(_handler(method), Cardinality.UNARY_UNARY, method.request, method.reply)
+            for name, method in self._methods_by_name.items()
+        }
+
+
+def _handler(method: _Method) -> Callable[[Stream], Awaitable[None]]:
+    async def handle(stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no message")
+        try:
+            reply = await _in_green_thread(method.answer, request)
+        except EgretError as error:
+            raise GRPCError(Status.FAILED_PRECONDITION, f"{error.code}: {error}") from error
+        await stream.send_message(reply)
+
+    return handle
+
+
+async def _in_green_thread(function: Callable[[Any], Any], argument: Any) -> Any:
+    """Run `function` in a green thread, since it may block there and not in a coroutine."""
+    future = asyncio.get_running_loop().create_future()
+
+    def run() -> None:
+        try:
+            result = function(argument)
+        except Exception as error:
+            if not future.done():
+                future.set_exception(error)
+            return
+        if not future.done():
+            future.set_result(result)
+
+    eventlet.spawn_n(run)
+    return await future
+
+
+class PeerClient:
+    """Send requests to other daemons over channels that stay open."""
+
+    def __init__(self) -> None:
+        self._channels_by_address: dict[tuple[str, int], Channel] = {}
+
+    def request(
+        self,
+        address: tuple[str, int],
+        name: str,
+        message: Any,
+        reply: type,
+        *,
+        timeout_ms: float = REQUEST_TIMEOUT_MS,
+    ) -> Any:
+        """Return the answer of the daemon at `address`, or raise `PeerError`."""
+        return _wait(self._request(address, name, message, reply, timeout_ms))
+
+    async def _request(
+        self, address: tuple[str, int], name: str, message: Any, reply: type, timeout_ms: float
+    ) -> Any:
+        channel = self._channel(address)
+        method = UnaryUnaryMethod(channel, _SERVICE + name, type(message), reply)
+        try:
+            return await asyncio.wait_for(method(message), seconds(timeout_ms))
+        except GRPCError as error:
+            raise PeerRefused(f"{address}: {error.message}") from error
+        except (
+            OSError,
+            TimeoutError,
+            ProtocolError,
+            StreamTerminatedError,
+            msgspec.MsgspecError,
+        ) as error:
+            self._forget(address)
+            raise PeerError(f"{address}: {error or type(error).__name__}") from error
+
+    def close(self) -> None:
+        """Close every channel."""
+        for address in list(self._channels_by_address):
+            self._forget(address)
+
+    def _channel(self, address: tuple[str, int]) -> Channel:
+        channel = self._channels_by_address.pop(address, None)
+        if channel is None:
+            channel = Channel(*address, codec=MsgpackCodec())
+        self._channels_by_address[address] = channel
+        while len(self._channels_by_address) > MAX_CHANNELS:
+            self._forget(next(iter(self._channels_by_address)))
+        return channel
+
+    def _forget(self, address: tuple[str, int]) -> None:
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+
+class _Outcome(msgspec.Struct, frozen=True):
+    result: Any = None
+    error: BaseException | None = None
+
+
+async def _settle(awaitable: Awaitable[Any]) -> _Outcome:
+    """Return what `awaitable` comes to: an error that leaves a task here is also printed."""
+    try:
+        return _Outcome(result=await awaitable)
+    except Exception as error:
+        return _Outcome(error=error)
+
+
+def _wait(awaitable: Awaitable[Any]) -> Any:
+    outcome = eventlet.asyncio.spawn_for_awaitable(_settle(awaitable)).wait()
+    if outcome.error is not None:
+        raise outcome.error
+    return outcome.result
--- /dev/null
+++ b/egretworks/reporting.py
@@ -0,0 +1,121 @@
+"""Report what is in force, and write the status of a data centre to the platform."""
+
+from __future__ import annotations
+
+import eventlet
+import msgspec
+
+from egretworks.blackboard import Blackboard, Reported
+from egretworks.clock import seconds
+from egretworks.controllers import Links, controller
+from egretworks.delivery import aggregator
+from egretworks.exceptions import ObjectConflict, ObjectNotFound, PlatformError
+from egretworks.membership import Outgoing
+from egretworks.messages import MemberRow, Report
+from egretworks.objects import ObjectStore, dump
+from egretworks.operatorpages import STATUS, CentreStatus, MemberStatus
+from egretworks.types import ETag, InstanceId, Version
+
+REPORT_EVERY_MS = 5_000
+WRITE_EVERY_MS = 1_000
+# The status names this many daemons at most, those furthest behind first.
+MAX_NAMED = 64
+
+
+def take_report(board: Blackboard, report: Report) -> None:
+    """Note what a daemon of this data centre has in force."""
+    board.reports_by_id[InstanceId(report.sender)] = Reported(
+        report.version, report.refused_version, report.refused_reason
+    )
+
+
+@controller("report")
+def run_report(board: Blackboard, links: Links) -> None:
+    """Tell the aggregator of each version that comes into force, and now and then anyway."""
+    while not board.stopping:
+        board.version_changed.wait(REPORT_EVERY_MS)
+        chosen = aggregator(board.membership.living(), board.data_centre)
+        row = board.membership.rows_by_id.get(chosen) if chosen else None
+        if row is None:
+            continue
+        report = _own_report(board)
+        if row.id == board.own_id:
+            take_report(board, report)
+        else:
+            links.gossip.send([Outgoing(row.host, row.peer_port, report)])
+
+
+@controller("status")
+def run_status(board: Blackboard, links: Links) -> None:
+    """Write the data centre's status while this daemon is its aggregator."""
+    written: CentreStatus | None = None
+    while not board.stopping:
+        eventlet.sleep(seconds(WRITE_EVERY_MS * (0.75 + 0.5 * board.random.random())))
+        if aggregator(board.membership.living(), board.data_centre) != board.own_id:
+            written = None
+            continue
+        status = centre_status(board)
+        if written is not None and _same(status, written):
+            continue
+        try:
+            _write(links.store, status)
+            written = status
+        except PlatformError:
+            written = None
+
+
+def centre_status(board: Blackboard) -> CentreStatus:
+    """Return the status of this daemon's data centre as it knows it."""
+    rows = [r for r in board.membership.living() if r.data_centre == board.data_centre]
+    members = sorted((_member_status(board, row) for row in rows), key=lambda m: m.version)
+    versions = [member.version for member in members]
+    return CentreStatus(
+        data_centre=board.data_centre,
+        written_by=board.own_id,
+        written_at_ms=board.clock.wall(),
+        daemons=len(members),
+        lowest_version=min(versions),
+        highest_version=max(versions),
+        members=tuple(members[:MAX_NAMED]),
+    )
+
+
+def _member_status(board: Blackboard, row: MemberRow) -> MemberStatus:
+    id = InstanceId(row.id)
+    reported = board.reports_by_id.get(id, Reported(0))
+    heard = board.membership.versions_by_id.get(id, Version(0))
+    version = board.in_force.version if id == board.own_id else max(reported.version, heard)
+    refused = reported if reported.refused_version > version else Reported(version)
+    return MemberStatus(
+        id=row.id,
+        host=row.host,
+        operator_port=row.operator_port,
+        state=row.state.value,
+        version=version,
+        targets=tuple(f"{t.id}:{t.service}:{t.state.value}" for t in row.targets),
+        refused_version=refused.refused_version,
+        refused_reason=refused.refused_reason,
+    )
+
+
+def _own_report(board: Blackboard) -> Report:
+    refusal = board.in_force.refusal
+    if refusal is None:
+        return Report(board.own_id, board.in_force.version)
+    return Report(board.own_id, board.in_force.version, refusal.version, refusal.reason)
+
+
+def _same(status: CentreStatus, written: CentreStatus) -> bool:
+    return msgspec.structs.replace(status, written_at_ms=written.written_at_ms) == written
+
+
+def _write(store: ObjectStore, status: CentreStatus) -> ETag:
+    """Write `status` over whatever stands there: two aggregators at once do no harm."""
+    try:
+        current = store.read(STATUS, status.data_centre)
+    except ObjectNotFound:
+        return store.create(STATUS, status.data_centre, dump(status))
+    try:
+        return store.update(STATUS, status.data_centre, dump(status), current.etag)
+    except ObjectConflict:
+        return ETag("")
--- /dev/null
+++ b/egretworks/spreading.py
@@ -0,0 +1,179 @@
+"""Join the other daemons, exchange datagrams and pull versions from them."""
+
+from __future__ import annotations
+
+import eventlet
+
+from egretworks.blackboard import Blackboard
+from egretworks.clock import seconds
+from egretworks.controllers import Links, controller
+from egretworks.delivery import Offer, pull_sources
+from egretworks.exceptions import PeerError
+from egretworks.membership import Outgoing
+from egretworks.messages import (
+    Datagram,
+    MemberRow,
+    MembersReply,
+    MembersRequest,
+    News,
+    Report,
+    SyncReply,
+    SyncRequest,
+)
+from egretworks.reporting import take_report
+from egretworks.types import InstanceId, Version
+
+SYNC = "Sync"
+MEMBERS = "Members"
+TICK_MS = 100
+JOIN_RETRY_MS = 500
+PULL_RETRY_MS = 200
+Address = tuple[str, int]
+
+
+def receive(board: Blackboard, message: Datagram) -> list[Outgoing]:
+    """Take in a datagram and return the answers."""
+    membership = board.membership
+    out = membership.handle(message, board.clock.now())
+    if isinstance(message, Report):
+        take_report(board, message)
+    elif isinstance(message, News) and message.version < board.in_force.version:
+        out += _answer_stale_news(board, message)
+    if membership.highest_version > board.in_force.version:
+        board.behind.set()
+    return out
+
+
+def _answer_stale_news(board: Blackboard, message: News) -> list[Outgoing]:
+    row = board.membership.rows_by_id.get(InstanceId(message.sender))
+    if row is None:
+        return []
+    answer = News(board.own_id, board.in_force.version)
+    return [Outgoing(row.host, row.peer_port, answer)]
+
+
+def answer_sync(board: Blackboard, request: SyncRequest) -> SyncReply:
+    """Return what the asking daemon needs to come up to this one."""
+    return board.in_force.reply_after(Version(request.after))
+
+
+def answer_members(board: Blackboard, request: MembersRequest) -> MembersReply:
+    """Take in the asking daemon's row and return the rows that it lacks."""
+    membership = board.membership
+    rows = membership.rows_that_differ(request.digests)
+    membership.merge((request.sender,), board.clock.now())
+    return MembersReply(membership.highest_version, rows)
+
+
+def came_into_force(board: Blackboard, links: Links, before: Version) -> None:
+    """Tell the others and the time line that a version above `before` is in force."""
+    version = board.in_force.version
+    refusal = board.in_force.refusal
+    if refusal is not None:
+        board.timeline.record(
+            "refused", ticket=refusal.ticket, version=refusal.version, detail=refusal.reason
+        )
+    if version == before:
+        return
+    board.membership.version = version
+    board.membership.hear_version(board.own_id, version)
+    board.timeline.record("in_force", ticket=board.in_force.state.ticket, version=version)
+    links.gossip.send(board.membership.news_of_version())
+    board.version_changed.set()
+
+
+@controller("tick")
+def run_ticks(board: Blackboard, links: Links) -> None:
+    """Advance probes and suspicions."""
+    while not board.stopping:
+        links.gossip.send(board.membership.tick(board.clock.now()))
+        eventlet.sleep(seconds(TICK_MS))
+
+
+@controller("join")
+def run_join(board: Blackboard, links: Links) -> None:
+    """Join by the seeds, and again whenever no other daemon is known."""
+    seeds = [parse_address(text) for text in board.settings.peers.seeds]
+    own = (board.settings.instance.host, board.settings.instance.peer_port)
+    seeds = [seed for seed in seeds if seed != own]
+    while not board.stopping:
+        if len(board.membership.living()) == 1:
+            board.random.shuffle(seeds)
+            board.joined = any([_exchange_members(board, links, seed) for seed in seeds[:3]])
+            board.behind.set()
+        eventlet.sleep(seconds(JOIN_RETRY_MS * (0.5 + board.random.random())))
+
+
+@controller("repair")
+def run_repair(board: Blackboard, links: Links) -> None:
+    """Compare the member table with another daemon's from time to time."""
+    seeds = [parse_address(text) for text in board.settings.peers.seeds]
+    while not board.stopping:
+        eventlet.sleep(seconds(board.settings.peers.repair_ms * (0.5 + board.random.random())))
+        others = [r for r in board.membership.living() if r.id != board.own_id]
+        if others:
+            row = others[board.random.randrange(len(others))]
+            _exchange_members(board, links, (row.host, row.peer_port))
+        _rejoin_lost_seed(board, links, seeds)
+
+
+def _rejoin_lost_seed(board: Blackboard, links: Links, seeds: list[Address]) -> None:
+    """Ask one seed that isn't known to live, so that parted regions find each other again."""
+    known = {(row.host, row.peer_port) for row in board.membership.living()}
+    lost = [seed for seed in seeds if seed not in known]
+    if lost:
+        _exchange_members(board, links, lost[board.random.randrange(len(lost))])
+
+
+def _exchange_members(board: Blackboard, links: Links, address: Address) -> bool:
+    membership = board.membership
+    request = MembersRequest(membership.own, membership.digests())
+    try:
+        reply = links.peers.request(address, MEMBERS, request, MembersReply)
+    except PeerError:
+        return False
+    membership.merge(reply.rows, board.clock.now())
+    membership.highest_version = max(membership.highest_version, Version(reply.version))
+    if membership.highest_version > board.in_force.version:
+        board.behind.set()
+    return True
+
+
+@controller("pull")
+def run_pull(board: Blackboard, links: Links) -> None:
+    """Pull from a peer whenever one is known to be ahead."""
+    while not board.stopping:
+        board.behind.wait(JOIN_RETRY_MS)
+        if board.membership.highest_version <= board.in_force.version:
+            continue
+        if not _pull_once(board, links):
+            eventlet.sleep(seconds(PULL_RETRY_MS * (0.5 + board.random.random())))
+
+
+def _pull_once(board: Blackboard, links: Links) -> bool:
+    sources = pull_sources(
+        board.in_force.version,
+        [row for row in board.membership.living() if row.id != board.own_id],
+        board.membership.versions_by_id,
+        board.data_centre,
+        board.random,
+    )
+    return any(_pull_from(board, links, row) for row in sources[:3])
+
+
+def _pull_from(board: Blackboard, links: Links, row: MemberRow) -> bool:
+    before = board.in_force.version
+    request = SyncRequest(before, board.own_id)
+    try:
+        reply = links.peers.request((row.host, row.peer_port), SYNC, request, SyncReply)
+    except PeerError:
+        return False
+    outcome = board.in_force.offer_reply(reply)
+    came_into_force(board, links, before)
+    return outcome is Offer.APPLIED
+
+
+def parse_address(text: str) -> Address:
+    """Return `text`, an IP number and a port, as a pair."""
+    host, _, port = text.rpartition(":")
+    return (host, int(port))
--- /dev/null
+++ b/egretworks/tickets.py
@@ -0,0 +1,76 @@
+"""Read ticket files and say exactly what is wrong with them."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+from egretworks.balancing import BALANCERS_BY_NAME
+from egretworks.exceptions import TicketInvalid
+from egretworks.resources import TicketBody
+from egretworks.types import TicketState
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """Record a ticket as the platform holds it."""
+
+    number: int
+    body: TicketBody
+    writer: str
+    filed_at_ms: float
+    state: TicketState = TicketState.FILED
+    version: int = 0
+    accepting_after: int = 0
+    reason: str = ""
+
+
+def read_ticket(path: Path) -> TicketBody:
+    """Return the ticket in the TOML or JSON file `path`, or raise `TicketInvalid`."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise TicketInvalid(f"{path}: can't be read: {error}") from error
+    loads = json.loads if path.suffix == ".json" else tomllib.loads
+    try:
+        document = loads(text)
+    except ValueError as error:
+        raise TicketInvalid(f"{path}: {error}") from error
+    try:
+        return parse_body(document)
+    except TicketInvalid as error:
+        raise TicketInvalid(f"{path}: {error.message}", next_step=error.next_step) from error
+
+
+def parse_body(document: object) -> TicketBody:
+    """Return `document` as a checked ticket body, or raise `TicketInvalid`."""
+    try:
+        body = msgspec.convert(document, TicketBody)
+    except msgspec.ValidationError as error:
+        raise TicketInvalid(str(error)) from error
+    check_body(body)
+    return body
+
+
+def check_body(body: TicketBody) -> None:
+    """Raise `TicketInvalid` unless `body` is consistent in itself."""
+    _check_unique("services", [s.name for s in body.services] + list(body.remove.services))
+    _check_unique("routes", [r.name for r in body.routes] + list(body.remove.routes))
+    if not (body.services or body.routes or body.remove.services or body.remove.routes):
+        raise TicketInvalid("the ticket touches nothing")
+    for index, service in enumerate(body.services):
+        if service.balance not in BALANCERS_BY_NAME:
+            known = ", ".join(sorted(BALANCERS_BY_NAME))
+            raise TicketInvalid(
+                f"unknown policy {service.balance!r} - at `$.services[{index}].balance`",
+                next_step=f"use one of: {known}",
+            )
+
+
+def _check_unique(kind: str, names: list[str]) -> None:
+    repeated = [name for name, count in Counter(names).items() if count > 1]
+    if repeated:
+        raise TicketInvalid(f"{kind}: {repeated[0]!r} stands in the ticket more than once")
--- /dev/null
+++ b/egretworks/types.py
@@ -0,0 +1,86 @@
+"""Name the ids, states and protocols that the other modules share."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NewType, Protocol
+
+InstanceId = NewType("InstanceId", str)
+TargetId = NewType("TargetId", str)
+DataCentre = NewType("DataCentre", str)
+ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+TicketNumber = NewType("TicketNumber", int)
+Version = NewType("Version", int)
+CallId = NewType("CallId", str)
+OnceKey = NewType("OnceKey", str)
+WriterMark = NewType("WriterMark", str)
+ETag = NewType("ETag", str)
+
+# The version of a mesh in which no ticket has been accepted yet.
+NO_VERSION = Version(0)
+
+
+class TicketState(str, Enum):
+    """State where a ticket stands between its operator and the mesh."""
+
+    FILED = "filed"
+    ACCEPTING = "accepting"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    WITHDRAWN = "withdrawn"
+
+
+class MemberState(str, Enum):
+    """State what the other daemons believe of a daemon."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+class TargetState(str, Enum):
+    """State what a target announces of itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class WorkClass(str, Enum):
+    """Class the work of a route by how long it holds a slot."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+class Repeat(str, Enum):
+    """State whether a call may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+
+
+class OnceState(str, Enum):
+    """State where a once-only call stands."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class RandomSource(Protocol):
+    """Supply random numbers, as `random.Random` does."""
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+
+    def randrange(self, stop: int) -> int:
+        """Return an integer in [0, stop)."""
+
+    def shuffle(self, values: list) -> None:
+        """Shuffle `values` in place."""
+
+    def sample(self, population: list, k: int) -> list:
+        """Return `k` distinct elements of `population`."""
--- /dev/null
+++ b/egretworks/upstream.py
@@ -0,0 +1,128 @@
+"""Exchange requests and answers with targets over connections that are kept."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections import deque
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from egretworks.clock import Clock, Millis, seconds
+from egretworks.exceptions import AttemptTimeout, ConnectFailed, DeadlineExceeded, OutcomeUnknown
+from egretworks.httpwire import RECEIVE_BYTES, Response, ResponseReader
+
+IDLE_MS = 10_000
+Address = tuple[str, int]
+
+
+class _Idle:
+    __slots__ = ("since", "sock")
+
+    def __init__(self, sock: socket.socket, since: Millis) -> None:
+        self.sock = sock
+        self.since = since
+
+
+class Upstream:
+    """Hold the connections to all targets that this daemon sends calls to."""
+
+    def __init__(self, clock: Clock, *, connect_ms: float, max_body_bytes: int) -> None:
+        self._clock = clock
+        self._connect_ms = connect_ms
+        self._max_body_bytes = max_body_bytes
+        self._idle_by_address: dict[Address, deque[_Idle]] = {}
+
+    def exchange(
+        self, address: Address, method: str, data: bytes, deadline: Millis, *, fresh: bool = False
+    ) -> Response:
+        """Send `data` and return the whole answer.
+
+        Raises `ConnectFailed` or `DeadlineExceeded` while nothing has been sent, and
+        `OutcomeUnknown` after that. `fresh` asks for a new connection, which can't turn out to
+        have been closed by the target while idle.
+        """
+        sock = None if fresh else self._take_idle(address)
+        if sock is None:
+            sock = self._connect(address, deadline)
+        kept = False
+        try:
+            response = self._send_and_receive(sock, method, data, deadline)
+            kept = response.keep_alive
+        finally:
+            # A connection whose exchange didn't end well may still bring the late answer.
+            if kept:
+                self._keep(address, sock)
+            else:
+                sock.close()
+        return response
+
+    def close_idle(self) -> None:
+        """Close the connections that have been idle for long."""
+        now = self._clock.now()
+        for address, idle in list(self._idle_by_address.items()):
+            while idle and now - idle[0].since > IDLE_MS:
+                idle.popleft().sock.close()
+            if not idle:
+                del self._idle_by_address[address]
+
+    def _connect(self, address: Address, deadline: Millis) -> socket.socket:
+        left_ms = deadline - self._clock.now()
+        if left_ms <= 0:
+            raise DeadlineExceeded("no time is left to connect")
+        sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(seconds(min(left_ms, self._connect_ms)))
+        try:
+            sock.connect(address)
+        except OSError as error:
+            sock.close()
+            raise ConnectFailed(f"{address[0]}:{address[1]}: {error}") from error
+        sock.settimeout(None)
+        return sock
+
+    def _send_and_receive(
+        self, sock: socket.socket, method: str, data: bytes, deadline: Millis
+    ) -> Response:
+        reader = ResponseReader(method, self._max_body_bytes)
+        timeout = eventlet.Timeout(seconds(deadline - self._clock.now()))
+        try:
+            sock.sendall(data)
+            while reader.response is None:
+                received = sock.recv(RECEIVE_BYTES)
+                if not received:
+                    raise OutcomeUnknown("the target closed the connection before a whole answer")
+                reader.feed(received)
+        except eventlet.Timeout as expired:
+            if expired is not timeout:
+                raise
+            raise AttemptTimeout("the target didn't answer in time") from None
+        except OSError as error:
+            raise OutcomeUnknown(f"the connection to the target broke: {error}") from error
+        finally:
+            timeout.cancel()
+        return reader.response
+
+    def _take_idle(self, address: Address) -> socket.socket | None:
+        idle = self._idle_by_address.get(address)
+        while idle:
+            sock = idle.pop().sock
+            if not _readable(sock):
+                return sock
+            sock.close()
+        return None
+
+    def _keep(self, address: Address, sock: socket.socket) -> None:
+        idle = self._idle_by_address.setdefault(address, deque())
+        idle.append(_Idle(sock, self._clock.now()))
+
+
+_poll = eventlet.patcher.original("select").poll
+
+
+def _readable(sock: socket.socket) -> bool:
+    """Return whether an idle connection has been closed, or brings what nobody asked for."""
+    poller = _poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/examples/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems around a mesh: the platform, targets and callers."""
--- /dev/null
+++ b/examples/standins/platform.py
@@ -0,0 +1,164 @@
+"""Stand in for the platform's object API: versions, conditional updates and watches.
+
+`python -m standins.platform PORT` serves it on loopback. `GET /admin/counts` returns the reads
+and writes so far; `PUT /admin/faults` sets delays, outages and lost answers.
+"""
+
+from __future__ import annotations
+
+import warnings
+
+warnings.simplefilter("ignore", DeprecationWarning)
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import json
+import sys
+import time
+from urllib.parse import parse_qs, unquote
+
+from eventlet import wsgi
+
+MAX_VALUE_BYTES = 1_000_000
+HISTORY_LENGTH = 10_000
+
+
+class Platform:
+    """Hold objects in memory and answer as the platform would."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self.history: list[tuple[int, str, str, bytes | None]] = []
+        self.position = 0
+        self.compacted = 0
+        self.waiters: list[eventlet.event.Event] = []
+        self.counts = {"reads": 0, "writes": 0, "watches": 0}
+        self.faults = {"delay_ms": 0, "outage": False, "lose_answers": 0, "frozen_at": None}
+
+    def __call__(self, environ, start):
+        method = environ["REQUEST_METHOD"]
+        parts = [unquote(p) for p in environ["PATH_INFO"].strip("/").split("/")]
+        query = {k: v[0] for k, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
+        if parts[0] == "admin":
+            return self.admin(environ, start, parts[1])
+        if self.faults["delay_ms"]:
+            eventlet.sleep(self.faults["delay_ms"] / 1000)
+        if self.faults["outage"]:
+            return reply(start, "503 Service Unavailable")
+        if parts[1] == "watch":
+            return self.watch(start, parts[2], query)
+        if len(parts) == 3:
+            return self.listing(start, parts[2], query)
+        if method == "GET":
+            return self.read(start, (parts[2], parts[3]))
+        return self.write(environ, start, method, (parts[2], parts[3]))
+
+    def admin(self, environ, start, what):
+        if what == "faults":
+            self.faults.update(json.loads(environ["wsgi.input"].read() or b"{}"))
+            return reply(start, "200 OK", json.dumps(self.faults).encode())
+        if what == "compact":
+            self.compacted, self.history = self.position, []
+            return reply(start, "200 OK", b"{}")
+        return reply(start, "200 OK", json.dumps(self.counts).encode())
+
+    def read(self, start, key):
+        self.counts["reads"] += 1
+        if key not in self.objects:
+            return reply(start, "404 Not Found")
+        version, value = self.objects[key]
+        return reply(start, "200 OK", value, version)
+
+    def listing(self, start, kind, query):
+        self.counts["reads"] += 1
+        after, limit = query.get("after", ""), int(query.get("limit", 500))
+        names = sorted(n for k, n in self.objects if k == kind and n > after)[:limit]
+        items = []
+        for name in names:
+            version, value = self.objects[kind, name]
+            items.append(
+                {"name": name, "etag": f'"{version}"', "value": value.decode(errors="replace")}
+            )
+        body = json.dumps({"position": self.position, "items": items}).encode()
+        return reply(start, "200 OK", body)
+
+    def write(self, environ, start, method, key):
+        self.counts["writes"] += 1
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > MAX_VALUE_BYTES:
+            return reply(start, "413 Content Too Large")
+        value = environ["wsgi.input"].read(length)
+        current = self.objects.get(key)
+        if environ.get("HTTP_IF_NONE_MATCH") == "*" and current:
+            return reply(start, "412 Precondition Failed")
+        wanted = environ.get("HTTP_IF_MATCH")
+        if wanted and (current is None or wanted != f'"{current[0]}"'):
+            return reply(start, "412 Precondition Failed")
+        self.position += 1
+        if method == "DELETE":
+            self.objects.pop(key, None)
+            value = None
+        else:
+            self.objects[key] = (self.position, value)
+        self.history.append((self.position, *key, value))
+        self.trim()
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.send()
+        if self.faults["lose_answers"]:
+            self.faults["lose_answers"] -= 1
+            return reply(start, "503 Service Unavailable")
+        return reply(start, "200 OK", b"", self.position)
+
+    def trim(self):
+        if len(self.history) > HISTORY_LENGTH:
+            self.compacted = self.history[0][0]
+            del self.history[0]
+
+    def watch(self, start, kind, query):
+        self.counts["reads"] += 1
+        self.counts["watches"] += 1
+        after = int(query["after"])
+        until = time.monotonic() + int(query.get("wait_ms", 30_000)) / 1000
+        if after < self.compacted:
+            return reply(start, "410 Gone")
+        while True:
+            events = [
+                {
+                    "name": n,
+                    "etag": f'"{p}"',
+                    "value": v if v is None else v.decode(errors="replace"),
+                }
+                for p, k, n, v in self.history
+                if p > after and k == kind
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                body = json.dumps({"position": self.position, "events": events}).encode()
+                return reply(start, "200 OK", body)
+            waiter = eventlet.event.Event()
+            self.waiters.append(waiter)
+            with eventlet.Timeout(left, False):
+                waiter.wait()
+
+
+def reply(start, status, body=b"", version=None):
+    headers = [("Content-Length", str(len(body))), ("Content-Type", "application/json")]
+    if version is not None:
+        headers.append(("ETag", f'"{version}"'))
+    start(status, headers)
+    return [body]
+
+
+def main():
+    """Serve the stand-in on the loopback port that the command line names."""
+    listener = eventlet.listen(("127.0.0.1", int(sys.argv[1])), backlog=500)
+    print(json.dumps({"standin": "platform", "port": listener.getsockname()[1]}), flush=True)
+    pool = eventlet.GreenPool(4_000)
+    wsgi.server(listener, Platform(), log_output=False, custom_pool=pool)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/examples/standins/target.py
@@ -0,0 +1,193 @@
+"""Stand in for a target: slots, drain, cold start, shedding, deadlines, a lagging load report.
+
+`python -m standins.target --help` lists its options. `GET /admin/runs` answers how often each
+key or call was run, which is what tests judge by; `PUT /admin/behaviour` changes it while it runs.
+"""
+
+from __future__ import annotations
+
+import warnings
+
+warnings.simplefilter("ignore", DeprecationWarning)
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import argparse
+import contextlib
+import hashlib
+import json
+import random
+import signal
+import time
+
+import urllib3
+from eventlet import wsgi
+
+
+class Target:
+    """Run requests in a bounded number of slots."""
+
+    def __init__(self, options) -> None:
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.started = time.monotonic()
+        self.busy = 0
+        self.served = 0
+        self.shed = 0
+        self.runs: dict[str, int] = {}
+        self.loads = [(0.0, 0)]
+        self.leaving = False
+        self.behaviour = {
+            "work_ms": options.work_ms,
+            "slow_ms": 0,
+            "straggler_share": 0.0,
+            "straggler_ms": 1_000,
+            "cut_share": 0.0,
+            "refuse": False,
+        }
+
+    def __call__(self, environ, start):
+        path = environ["PATH_INFO"]
+        if path.startswith("/admin/"):
+            return self.admin(environ, start, path.removeprefix("/admin/"))
+        if self.busy >= self.options.slots or self.leaving or self.behaviour["refuse"]:
+            self.shed += 1
+            return reply(start, "503 Service Unavailable", b"shed", [("Egret-Not-Run", "true")])
+        self.busy += 1
+        self.note_load()
+        try:
+            return self.run(environ, start, path)
+        finally:
+            self.busy -= 1
+            self.note_load()
+
+    def run(self, environ, start, path):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        key = environ.get("HTTP_IDEMPOTENCY_KEY") or environ.get("HTTP_EGRET_CALL_ID", "")
+        self.runs[key] = self.runs.get(key, 0) + 1
+        work_ms = self.work_ms()
+        deadline_ms = float(environ.get("HTTP_EGRET_DEADLINE_MS", "inf"))
+        eventlet.sleep(min(work_ms, deadline_ms) / 1000)
+        if work_ms > deadline_ms:
+            return reply(start, "504 Gateway Timeout", b"deadline")
+        self.served += 1
+        answer = {
+            "target": self.options.id,
+            "path": path,
+            "query": environ.get("QUERY_STRING", ""),
+            "key": key,
+            "body_sha256": hashlib.sha256(body).hexdigest(),
+            "depth": environ.get("HTTP_EGRET_DEPTH"),
+            "deadline_ms": environ.get("HTTP_EGRET_DEADLINE_MS"),
+        }
+        return reply(start, "200 OK", json.dumps(answer).encode())
+
+    def work_ms(self):
+        """Return how long the next piece of work takes: longer while cold or made slow."""
+        work_ms = self.behaviour["work_ms"] + self.behaviour["slow_ms"]
+        if self.random.random() < self.behaviour["straggler_share"]:
+            work_ms += self.behaviour["straggler_ms"]
+        cold_s = self.options.cold_ms / 1000
+        age = time.monotonic() - self.started
+        return work_ms * 3 if age < cold_s else work_ms
+
+    def note_load(self):
+        self.loads.append((time.monotonic(), self.busy))
+        del self.loads[:-1000]
+
+    def reported_load(self):
+        """Return the load as it was a while ago, which is what a report shows."""
+        until = time.monotonic() - self.options.report_lag_ms / 1000
+        old = [busy for at, busy in self.loads if at <= until]
+        return old[-1] if old else 0
+
+    def admin(self, environ, start, what):
+        if what == "behaviour":
+            self.behaviour.update(json.loads(environ["wsgi.input"].read() or b"{}"))
+        if what == "leave":
+            self.leaving = True
+        pages = {
+            "runs": self.runs,
+            "load": {"busy": self.reported_load(), "slots": self.options.slots},
+            "health": {"ok": True},
+        }
+        counts = {"served": self.served, "shed": self.shed, "leaving": self.leaving}
+        return reply(start, "200 OK", json.dumps(pages.get(what, counts)).encode())
+
+
+def reply(start, status, body, headers=()):
+    start(status, [("Content-Length", str(len(body))), *headers])
+    return [body]
+
+
+def announce_once(target, pool):
+    """Tell the daemon beside the target how it stands."""
+    options = target.options
+    document = {
+        "service": options.service,
+        "host": "127.0.0.1",
+        "port": options.port,
+        "slots": options.slots,
+        "connections": options.connections,
+        "state": "leaving" if target.leaving else "ready",
+    }
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        pool.request("PUT", f"/v1/targets/{options.id}", body=json.dumps(document).encode())
+
+
+def announce(target, pool):
+    """Announce the target until the process ends."""
+    while True:
+        announce_once(target, pool)
+        eventlet.sleep(target.options.announce_ms / 1000)
+
+
+def leave(target, listener, pool):
+    """Say that the target is leaving, finish what runs, and end the process."""
+    target.leaving = True
+    announce_once(target, pool)
+    eventlet.sleep(target.options.drain_ms / 1000)
+    while target.busy:
+        eventlet.sleep(0.02)
+    listener.close()
+
+
+def main():
+    """Serve a target on loopback by the options of the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--daemon", required=True, help="operator port of the daemon beside it")
+    parser.add_argument("--slots", type=int, default=12)
+    parser.add_argument("--connections", type=int, default=130)
+    parser.add_argument("--work-ms", type=float, default=5)
+    parser.add_argument("--cold-ms", type=float, default=0)
+    parser.add_argument("--drain-ms", type=float, default=1_500)
+    parser.add_argument("--announce-ms", type=float, default=500)
+    parser.add_argument("--report-lag-ms", type=float, default=1_000)
+    parser.add_argument("--seed", type=int, default=1)
+    target = Target(parser.parse_args())
+    listener = eventlet.listen(("127.0.0.1", target.options.port), backlog=500)
+    port = listener.getsockname()[1]
+    print(json.dumps({"standin": "target", "id": target.options.id, "port": port}), flush=True)
+    target.options.port = port
+    host, _, daemon_port = target.options.daemon.rpartition(":")
+    daemon = urllib3.HTTPConnectionPool(host, int(daemon_port), retries=False, timeout=1)
+    eventlet.spawn_n(announce, target, daemon)
+    main_thread = eventlet.getcurrent()
+
+    def stop(*_):
+        leaving = eventlet.spawn(leave, target, listener, daemon)
+        leaving.link(lambda _: main_thread.throw(SystemExit(0)))
+
+    signal.signal(signal.SIGTERM, stop)
+    pool = eventlet.GreenPool(target.options.connections)
+    wsgi.server(listener, target, log_output=False, custom_pool=pool, keepalive=60)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,288 @@
+"""Start the platform's stand-in, daemons and targets as processes, and wait for conditions."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 30
+
+
+def wait_for(condition, what, timeout_s=WAIT_S):
+    """Return the first true value of `condition`, or fail naming `what` was awaited."""
+    until = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > until:
+            raise AssertionError(f"waited {timeout_s} s for {what}; last saw {value!r}")
+        time.sleep(0.03)
+
+
+def free_port():
+    """Return a port that is free for TCP and UDP on loopback."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+def ask(port, method, path, body=None, headers=None, timeout=10):
+    """Send one request to loopback and return its status, headers and body."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+def ask_json(port, path, method="GET", body=None):
+    """Return the JSON answer to a request, or None where there is no answer."""
+    try:
+        status, _, data = ask(port, method, path, body=body, timeout=2)
+    except (OSError, http.client.HTTPException):
+        return None
+    return json.loads(data) if status == 200 else None
+
+
+class Process:
+    """Run one program and keep what it prints."""
+
+    def __init__(self, arguments, log):
+        self.arguments = arguments
+        self.log = log
+        self.popen = None
+        self.start()
+
+    def start(self):
+        environment = {**os.environ, "PYTHONPATH": f"{ROOT}:{ROOT / 'examples'}"}
+        with open(self.log, "ab") as stream:
+            self.popen = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                stdout=stream,
+                stderr=stream,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        self.popen.kill()
+        self.popen.wait()
+
+    def wait(self):
+        return self.popen.wait(WAIT_S)
+
+    def end(self):
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.kill()
+
+
+class Platform(Process):
+    """Run the platform's stand-in."""
+
+    def __init__(self, folder):
+        self.port = free_port()
+        super().__init__(["-m", "standins.platform", str(self.port)], folder / "platform.log")
+        wait_for(lambda: ask_json(self.port, "/admin/counts"), "the platform's stand-in")
+
+    def faults(self, **faults):
+        return ask_json(self.port, "/admin/faults", "PUT", json.dumps(faults))
+
+    def counts(self):
+        return ask_json(self.port, "/admin/counts")
+
+
+class Daemon(Process):
+    """Run one egretd by settings of its own."""
+
+    def __init__(self, folder, id, data_centre, platform_port, ports, seeds, extra=""):
+        self.id = id
+        self.data_centre = data_centre
+        self.call_port, self.operator_port, self.peer_port = ports
+        self.settings = folder / f"{id}.toml"
+        seed_list = ", ".join(f'"127.0.0.1:{port}"' for port in seeds)
+        self.settings.write_text(f"""
+[instance]
+id = "{id}"
+data_centre = "{data_centre}"
+host = "127.0.0.1"
+call_port = {self.call_port}
+operator_port = {self.operator_port}
+peer_port = {self.peer_port}
+[platform]
+address = "127.0.0.1:{platform_port}"
+timeout_ms = 1000
+[peers]
+seeds = [{seed_list}]
+repair_ms = 1000
+{extra}
+""")
+        super().__init__(["-m", "egretworks.egretd", str(self.settings)], folder / f"{id}.log")
+
+    def status(self):
+        return ask_json(self.operator_port, "/v1/status")
+
+    def events(self):
+        page = ask_json(self.operator_port, "/v1/events")
+        return page["events"] if page else []
+
+    def version(self):
+        status = self.status()
+        return status["version"] if status else -1
+
+    def call(self, path, method="GET", body=None, headers=None, timeout=10):
+        return ask(self.call_port, method, path, body, headers, timeout)
+
+    def log_events(self):
+        """Return the events that the process logged, its earlier lives included."""
+        lines = [json.loads(x) for x in self.log.read_text().splitlines() if x.startswith("{")]
+        return [line["event"] for line in lines if "event" in line]
+
+
+class Target(Process):
+    """Run one target's stand-in beside `daemon`."""
+
+    def __init__(self, folder, id, service, daemon, **options):
+        self.id = id
+        self.port = free_port()
+        arguments = ["-m", "standins.target", "--id", id, "--service", service]
+        arguments += ["--port", str(self.port), "--daemon", f"127.0.0.1:{daemon.operator_port}"]
+        arguments += ["--announce-ms", "300"]
+        for name, value in options.items():
+            arguments += [f"--{name.replace('_', '-')}", str(value)]
+        super().__init__(arguments, folder / f"{id}.log")
+
+    def behave(self, **behaviour):
+        return ask_json(self.port, "/admin/behaviour", "PUT", json.dumps(behaviour))
+
+    def runs(self):
+        return ask_json(self.port, "/admin/runs")
+
+    def counts(self):
+        return ask_json(self.port, "/admin/counts")
+
+
+class Mesh:
+    """Hold the processes of one test's mesh."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.platform = Platform(folder)
+        self.daemons = []
+        self.targets = []
+        self.proxies = []
+        self.client_settings = folder / "egretctl.toml"
+
+    def start_daemons(self, count, data_centres=("zg-trnje",), platform_port=None, extra=""):
+        ports = [[free_port() for _ in range(3)] for _ in range(count)]
+        seeds = [own[2] for own in ports]
+        for index, own in enumerate(ports):
+            centre = data_centres[index % len(data_centres)]
+            platform = platform_port or self.platform.port
+            id = f"d{len(self.daemons)}"
+            self.daemons.append(Daemon(self.folder, id, centre, platform, own, seeds, extra))
+        for daemon in self.daemons:
+            wait_for(daemon.status, f"daemon {daemon.id}")
+        self.write_client_settings()
+        wait_for(
+            lambda: all(d.status()["members"] == len(self.daemons) for d in self.daemons),
+            "every daemon to know all others",
+        )
+        return self.daemons
+
+    def write_client_settings(self):
+        addresses = ", ".join(f'"127.0.0.1:{d.operator_port}"' for d in self.daemons)
+        self.client_settings.write_text(f"""
+daemons = [{addresses}]
+operator = "test"
+[platform]
+address = "127.0.0.1:{self.platform.port}"
+""")
+
+    def start_target(self, id, service, daemon, **options):
+        target = Target(self.folder, id, service, daemon, **options)
+        self.targets.append(target)
+        wait_for(lambda: ask_json(target.port, "/admin/health"), f"target {id}")
+        return target
+
+    def ctl(self, *arguments, status=0):
+        """Run egretctl and return what it printed, decoded where it is JSON."""
+        done = self.run_ctl(*arguments)
+        assert done.returncode == status, (done.returncode, done.stdout, done.stderr)
+        return json.loads(done.stdout) if done.stdout[:1] in "{[" else done.stdout
+
+    def run_ctl(self, *arguments):
+        return subprocess.run(
+            [
+                *(sys.executable, "-m", "egretworks.cmdline", *map(str, arguments)),
+                *("--settings", str(self.client_settings)),
+            ],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            timeout=60,
+        )
+
+    def ticket_file(self, text):
+        path = self.folder / f"ticket-{time.monotonic_ns()}.toml"
+        path.write_text(text)
+        return path
+
+    def put_in_force(self, text):
+        """File and accept a ticket, wait until all have it, and return its version."""
+        number = self.ctl("file", self.ticket_file(text), "--json")["number"]
+        version = self.ctl("accept", number, "--json")["version"]
+        self.await_version(version)
+        return version
+
+    def await_version(self, version, daemons=None):
+        for daemon in daemons or self.daemons:
+            wait_for(lambda d=daemon: d.version() >= version, f"version {version} at {daemon.id}")
+            wait_for(lambda d=daemon: d.status()["ready"], f"{daemon.id} to be ready")
+
+    def await_targets(self, count, daemons=None):
+        for daemon in daemons or self.daemons:
+            wait_for(lambda d=daemon: len(targets_seen(d)) == count, f"{count} targets")
+
+    def end(self):
+        for process in [*self.targets, *self.daemons, self.platform]:
+            process.end()
+        for proxy in self.proxies:
+            proxy.close()
+
+
+def targets_seen(daemon):
+    """Return the targets that are ready, as `daemon` sees the fleet."""
+    fleet = ask_json(daemon.operator_port, "/v1/fleet") or {"members": []}
+    living = [m["status"] for m in fleet["members"] if m["status"]["state"] in ("alive", "suspect")]
+    return [t for member in living for t in member["targets"] if t.endswith(":ready")]
+
+
+LEDGER_TICKET = """
+title = "ledger lookups"
+[[services]]
+name = "ledger"
+[[routes]]
+name = "ledger-read"
+service = "ledger"
+repeat = "idempotent"
+match = { path_prefix = "/ledger", methods = ["GET"] }
+"""
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,47 @@
+import json
+
+from processes import LEDGER_TICKET, wait_for
+
+
+def test_a_ticket_comes_into_force_and_a_call_is_served(mesh):
+    daemons = mesh.start_daemons(3, data_centres=("zg-trnje", "zg-dubrava"))
+    for daemon in daemons:
+        mesh.start_target(f"t-{daemon.id}", "ledger", daemon)
+    number = mesh.ctl("file", mesh.ticket_file(LEDGER_TICKET), "--json")["number"]
+    assert number == 1
+    version = mesh.ctl("accept", 1, "--json")["version"]
+    mesh.await_version(version)
+    mesh.await_targets(3)
+
+    for daemon in daemons:
+        status, _, body = daemon.call("/ledger/balance?of=7")
+        assert status == 200
+        assert json.loads(body)["query"] == "of=7"
+    standing = mesh.ctl("show", 1, "--json")
+    assert standing["ticket"]["state"] == "accepted"
+    assert standing["in_force"] == standing["daemons"] == 3
+
+
+def test_calls_are_served_on_while_any_one_daemon_is_killed(mesh):
+    daemons = mesh.start_daemons(3)
+    for daemon in daemons:
+        mesh.start_target(f"t-{daemon.id}", "ledger", daemon)
+    mesh.put_in_force(LEDGER_TICKET)
+    mesh.await_targets(3)
+    for victim in daemons:
+        victim.kill()
+        others = [daemon for daemon in daemons if daemon is not victim]
+        answers = [daemon.call("/ledger/x")[0] for daemon in others for _ in range(20)]
+        assert answers == [200] * 40
+        victim.start()
+        wait_for(lambda d=victim: (d.status() or {}).get("ready"), f"{victim.id} to be back")
+        mesh.await_targets(3)
+
+
+def test_a_request_without_a_route_is_refused_as_not_run(mesh):
+    (daemon,) = mesh.start_daemons(1)
+    mesh.put_in_force(LEDGER_TICKET)
+    status, headers, body = daemon.call("/elsewhere")
+    assert status == 404
+    assert headers["Egret-Not-Run"] == "true"
+    assert json.loads(body)["error"] == "call.no_route"
