Record once-only calls on the platform before they are sent

Cause: calls of a once-only route were refused, since nothing recorded them.

What it does: a key's record lives in one of 256 shard objects; the object's version fences two daemons that take one key. The claim is durable before the first byte leaves, the answer is recorded before the caller gets it, a repeat gets the recorded answer, "running" or "unknown", and never a second run. An own write whose answer was lost is told by its mark. A claim whose fate isn't known is taken back by a write that also ends the version it depended on, so that it can't land later. Operators ask and settle with `egretctl once`, callers under /.egret/once/.

Ruled out: one object a key (two writes a call and no batching), a lease on the key (a paused holder would go on with it).

Conclusion: once-only calls are carried; what each proof looks like with its mechanism taken out is still to be run.

--- a/egretworks/cmdline.py
+++ b/egretworks/cmdline.py
@@ -9,7 +9,7 @@
 import defopt
 
 from egretworks.config import read_client_settings
-from egretworks.control import EventFilter, OperatorClient, TicketStanding
+from egretworks.control import EventFilter, OperatorClient, Outcome, TicketStanding
 from egretworks.exceptions import EgretError
 from egretworks.ledger import parse_number
 from egretworks.tables import as_json, as_table, as_time
@@ -135,6 +135,32 @@
     _print(page, text, json)
 
 
+def once(
+    service: str,
+    key: str,
+    *,
+    settle: Outcome | None = None,
+    settings: Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> None:
+    """Show where a once-only call stands, or settle one whose outcome is unknown.
+
+    :param service: the service that was called
+    :param key: the call's Idempotency-Key
+    :param settle: record what you found out: that the call ran, or that it did not run
+    :param settings: TOML file with the client's settings
+    :param json: print JSON
+    """
+    client = _client(settings)
+    standing = client.settle(service, key, settle) if settle else client.once(service, key)
+    text = f"{service}/{key}: {standing.state}"
+    if standing.owner:
+        text += f", by {standing.owner} since {as_time(standing.since_ms)}"
+    if standing.status:
+        text += f", status {standing.status}"
+    _print(standing, text, json)
+
+
 COMMANDS_BY_NAME = {
     "file": file,
     "accept": accept,
@@ -143,6 +169,7 @@
     "list": list_tickets,
     "fleet": fleet,
     "timeline": timeline,
+    "once": once,
 }
 
 
--- a/egretworks/control.py
+++ b/egretworks/control.py
@@ -3,21 +3,36 @@
 from __future__ import annotations
 
 import secrets
+import time
+from collections.abc import Callable
+from enum import Enum
 from pathlib import Path
 
 import msgspec
 
-from egretworks.clock import SystemClock
+from egretworks.clock import MILLIS_PER_SECOND, SystemClock
 from egretworks.config import ClientSettings
-from egretworks.exceptions import FleetUnreachable, PlatformError
+from egretworks.exceptions import FleetUnreachable, ObjectNotFound, OnceConflict, PlatformError
 from egretworks.fleet import FleetClient, Unanswered
 from egretworks.ledger import Ledger
 from egretworks.objects import ObjectStore
+from egretworks.once import (
+    Answer,
+    Decision,
+    Record,
+    Shard,
+    Verdict,
+    full_key,
+    settle_done,
+    settle_not_run,
+    shard_of,
+)
 from egretworks.operatorpages import CentreStatus, DaemonStatus, FleetMember, read_statuses
+from egretworks.shards import LATER, ShardStore
 from egretworks.state import preview
 from egretworks.tickets import Ticket, read_ticket
 from egretworks.timeline import Event, merge
-from egretworks.types import TicketNumber, TicketState, WriterMark
+from egretworks.types import OnceKey, OnceState, ServiceName, TicketNumber, TicketState, WriterMark
 
 
 class Standing(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -77,6 +92,28 @@
         )
 
 
+class Outcome(str, Enum):
+    """Say what an operator found out about a call whose outcome was unknown."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+
+
+class OnceStanding(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Tell where a once-only call stands."""
+
+    service: str
+    key: str
+    state: str
+    owner: str = ""
+    since_ms: float = 0.0
+    status: int = 0
+
+
+# What a repeated call gets whose first run an operator has vouched for.
+SETTLED_ANSWER = Answer(200, "application/json", b'{"settled": "ran"}')
+
+
 class OperatorClient:
     """Carry out operators' commands by `settings`."""
 
@@ -92,6 +129,9 @@
             lambda: WriterMark(f"{operator}-{secrets.token_hex(8)}"),
         )
         self._fleet = FleetClient()
+        self._shards = ShardStore(
+            self._store, lambda pause_ms: time.sleep(pause_ms / MILLIS_PER_SECOND)
+        )
 
     def file(self, path: Path) -> Ticket:
         """File the ticket in the file `path`, if it fits the state in force."""
@@ -140,6 +180,43 @@
         chosen = merge([event for event in events if selected.selects(event)])
         return TimelinePage(tuple(chosen[-limit:]), tuple(missing))
 
+    def once(self, service: str, key: str) -> OnceStanding:
+        """Return where the once-only call with `key` of `service` stands."""
+        full = full_key(ServiceName(service), key)
+        return _once_standing(service, key, self._shards.record(full))
+
+    def settle(self, service: str, key: str, outcome: Outcome) -> OnceStanding:
+        """Record what an operator found out about a call whose outcome is unknown.
+
+        Raises `OnceConflict` where the outcome isn't unknown.
+        """
+        full = full_key(ServiceName(service), key)
+        record = self._shards.record(full)
+        if record is None or record.state is not OnceState.UNKNOWN:
+            state = record.state.value if record else "absent"
+            raise OnceConflict(f"{full} is {state}: only an unknown outcome can be settled")
+        mark = WriterMark(record.mark)
+        if outcome is Outcome.RAN:
+            self._apply(full, lambda shard: settle_done(shard, full, mark, SETTLED_ANSWER))
+        else:
+            queued = self._is_kept(full)
+            self._apply(full, lambda shard: settle_not_run(shard, full, mark, queued=queued))
+        return self.once(service, key)
+
+    def _apply(self, key: OnceKey, settlement: Callable[[Shard], Shard]) -> None:
+        def operation(shard: Shard) -> Decision:
+            following = settlement(shard)
+            return Decision(Verdict.DONE, shard=None if following is shard else following)
+
+        self._shards.update(shard_of(key), [operation])
+
+    def _is_kept(self, key: OnceKey) -> bool:
+        try:
+            self._store.read(LATER, key)
+        except ObjectNotFound:
+            return False
+        return True
+
     def _members(self) -> list[FleetMember]:
         """Return the fleet as the platform's statuses or, failing those, a daemon shows it."""
         try:
@@ -171,6 +248,13 @@
         return standings, "daemons"
 
 
+def _once_standing(service: str, key: str, record: Record | None) -> OnceStanding:
+    if record is None:
+        return OnceStanding(service, key, "absent")
+    status = record.answer.status if record.answer else 0
+    return OnceStanding(service, key, record.state.value, record.owner, record.at_ms, status)
+
+
 def _members_of(status: CentreStatus) -> list[FleetMember]:
     return [FleetMember(status.data_centre, member) for member in status.members]
 
--- a/egretworks/daemon.py
+++ b/egretworks/daemon.py
@@ -16,6 +16,8 @@
 from egretworks.dispatch import Dispatcher
 from egretworks.exceptions import SettingsError
 from egretworks.gossip import GossipSocket
+from egretworks.keeper import Keeper
+from egretworks.later import LaterCalls
 from egretworks.ledger import Ledger
 from egretworks.membership import Membership
 from egretworks.messages import (
@@ -27,8 +29,10 @@
 )
 from egretworks.metrics import Metrics
 from egretworks.objects import ObjectStore
+from egretworks.oncecalls import OnceCalls
 from egretworks.operatorport import OperatorPort
 from egretworks.peers import PeerClient, PeerServer
+from egretworks.shards import ShardStore
 from egretworks.timeline import Timeline
 from egretworks.types import InstanceId, WriterMark
 from egretworks.upstream import Upstream
@@ -80,6 +84,7 @@
         eventlet.spawn_n(self.call_port.run)
         eventlet.spawn_n(self._keep_house)
         eventlet.spawn_n(self._wake_waiting)
+        eventlet.spawn_n(self.later.run)
         start_all(self.board, self.links)
         self._stopped.wait()
 
@@ -95,12 +100,19 @@
         self.gossip.send(self.board.membership.leave())
         eventlet.sleep(seconds(LEAVE_SPREAD_MS))
         self.call_port.drain(self.board.settings.calls.drain_ms)
+        self._await_settlements()
         self.board.timeline.record("stopped")
         self.operator_port.close()
         self.peer_server.stop()
         self.gossip.close()
         self._stopped.send()
 
+    def _await_settlements(self) -> None:
+        """Wait for the outcomes of once-only calls to be recorded."""
+        with eventlet.Timeout(seconds(self.board.settings.calls.drain_ms), False):
+            while self.once.unsettled:
+                eventlet.sleep(seconds(WAKE_MS))
+
     def _open_ports(self) -> None:
         """Take the ports, or raise `SettingsError` naming the one that is taken."""
         board = self.board
@@ -115,6 +127,7 @@
             )
             store = ObjectStore(platform.address, timeout_ms=platform.timeout_ms)
             ledger = Ledger(store, self.clock, self._new_mark)
+            self._keep_once_only_calls(store)
             self.links = Links(store, ledger, PeerClient(), self.gossip)
             self.peer_server = PeerServer(instance.host, instance.peer_port)
             self._register_answers()
@@ -133,6 +146,13 @@
                 next_step="see that no other process holds the ports under [instance]",
             ) from error
 
+    def _keep_once_only_calls(self, store: ObjectStore) -> None:
+        shards = ShardStore(store, lambda pause_ms: eventlet.sleep(seconds(pause_ms)))
+        self.once = OnceCalls(self.board, store, Keeper(shards, self.clock))
+        self.later = LaterCalls(self.board, store, self.once, self.dispatcher)
+        self.once.later = self.later
+        self.dispatcher.once = self.once
+
     def _register_answers(self) -> None:
         board = self.board
         self.peer_server.register(
--- a/egretworks/dispatch.py
+++ b/egretworks/dispatch.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
+from urllib.parse import unquote
 
 import eventlet.event
 
@@ -12,6 +14,7 @@
 from egretworks.deadlines import CallContext, context_headers, read_context
 from egretworks.exceptions import (
     AttemptTimeout,
+    BadRequest,
     CallError,
     ConnectFailed,
     DeadlineExceeded,
@@ -37,6 +40,19 @@
 
 Attempts = Callable[[], Response]
 
+# Callers ask here where a once-only call stands: behind it come the service and the key.
+ONCE_PATH = "/.egret/once/"
+
+
+class OnceService(Protocol):
+    """Carry once-only calls and tell where they stand."""
+
+    def serve(self, call: Call, attempts: Attempts) -> Response:
+        """Return the answer to a once-only call."""
+
+    def describe(self, service: str, key: str) -> Response:
+        """Return an answer that tells where a key stands."""
+
 
 class Call:
     """Hold one call while it is carried."""
@@ -63,7 +79,7 @@
         self._granted_by_waiter: dict[Waiter, eventlet.event.Event] = {}
         self._serial = 0
         self.in_hand = 0
-        self.once: Callable[[Call, Attempts], Response] | None = None
+        self.once: OnceService | None = None
 
     def serve(self, request: Request) -> Response:
         """Return the answer to `request`, be it the target's or an error of our own."""
@@ -92,12 +108,11 @@
 
     def _serve(self, request: Request, now: Millis) -> Response:
         board = self._board
+        if request.path.startswith(ONCE_PATH):
+            return self._describe_once(request.path.removeprefix(ONCE_PATH))
         if not board.ready:
             raise NotReady("this daemon has no configuration in force yet")
-        self._follow_state()
-        route = self._routes.find(request.header(b"host"), request.path, request.method)
-        if route is None:
-            raise NoRoute(f"no route matches {request.method} {request.path[:100]}")
+        route = self.route_of(request)
         self._serial += 1
         context = read_context(
             request,
@@ -108,15 +123,29 @@
         )
         call = Call(request, route, context)
         if route.repeat is Repeat.ONCE:
-            return self._serve_once(call)
-        return self._attempts(call)
+            return self._once().serve(call, lambda: self.attempts(call))
+        return self.attempts(call)
 
-    def _serve_once(self, call: Call) -> Response:
+    def route_of(self, request: Request) -> Route:
+        """Return the route in force that `request` matches, or raise `NoRoute`."""
+        self._follow_state()
+        route = self._routes.find(request.header(b"host"), request.path, request.method)
+        if route is None:
+            raise NoRoute(f"no route matches {request.method} {request.path[:100]}")
+        return route
+
+    def _once(self) -> OnceService:
         if self.once is None:
             raise NotReady("once-only calls can't be recorded yet")
-        return self.once(call, lambda: self._attempts(call))
+        return self.once
+
+    def _describe_once(self, place: str) -> Response:
+        service, _, key = place.partition("/")
+        if not service or not key:
+            raise BadRequest(f"ask for {ONCE_PATH}SERVICE/KEY")
+        return self._once().describe(service, unquote(key))
 
-    def _attempts(self, call: Call) -> Response:
+    def attempts(self, call: Call) -> Response:
         """Attempt the call until it is answered, or no further attempt may be made."""
         budget = self._budget(ServiceName(call.route.service))
         budget.earn(call.route.retry.budget_percent)
--- a/egretworks/exceptions.py
+++ b/egretworks/exceptions.py
@@ -228,6 +228,13 @@
     not_run = True
 
 
+class OnceConflict(EgretError):
+    """Report a once-only call that isn't in the state that a command needs."""
+
+    code = "once.conflict"
+    exit_status = 6
+
+
 class ControlError(EgretError):
     """Report an operators' command that can't be carried out."""
 
--- /dev/null
+++ b/egretworks/oncecalls.py
@@ -0,0 +1,280 @@
+"""Carry calls that may run only once: record, send, record the outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import eventlet
+import msgspec
+
+from egretworks.blackboard import Blackboard
+from egretworks.clock import Millis, seconds
+from egretworks.dispatch import Attempts, Call
+from egretworks.exceptions import (
+    CallError,
+    ObjectConflict,
+    ObjectNotFound,
+    OnceKeyMissing,
+    OnceKeyReused,
+    OnceRunning,
+    OnceUnknown,
+    OnceUnrecorded,
+    OutcomeUnknown,
+    PlatformError,
+)
+from egretworks.httpwire import Response
+from egretworks.keeper import Keeper
+from egretworks.membership import LIVING
+from egretworks.objects import ObjectStore
+from egretworks.once import (
+    MAX_KEY_LENGTH,
+    Answer,
+    Claim,
+    Decision,
+    Record,
+    Shard,
+    Verdict,
+    claim,
+    fingerprint_of,
+    full_key,
+    settle_done,
+    settle_not_run,
+    settle_unknown,
+)
+from egretworks.shards import Operation
+from egretworks.types import InstanceId, OnceKey, OnceState, ServiceName, WriterMark
+
+if TYPE_CHECKING:
+    from egretworks.later import LaterCalls
+
+KEY_HEADER = b"Idempotency-Key"
+ONCE_HEADER = b"Egret-Once"
+ANSWERS = "answers"
+# A body above this size is kept in an object of its own, to keep shards small.
+MAX_INLINE_BYTES = 2_048
+# The caller gets its answer after this time at the latest, recorded or not.
+RECORD_WAIT_MS = 1_000
+SETTLE_RETRY_MS = 500
+SETTLE_TRY_MS = 5_000
+
+Settlement = Callable[[Shard], Shard]
+LATER_HEADER = b"Egret-Later"
+
+
+class OnceCalls:
+    """Carry the once-only calls of one daemon."""
+
+    def __init__(self, board: Blackboard, store: ObjectStore, keeper: Keeper) -> None:
+        self._board = board
+        self._store = store
+        self._keeper = keeper
+        self.later: LaterCalls | None = None
+        self.unsettled = 0
+
+    def serve(self, call: Call, attempts: Attempts) -> Response:
+        """Return the answer to `call`, whose only run is by `attempts` or was an earlier one."""
+        key = _read_key(call)
+        asked = self.new_claim(key, call)
+        if self.later is not None and call.request.header(LATER_HEADER.lower()) == "true":
+            return self.later.accept(asked, call)
+        decision = self.record_claim(
+            asked, lambda shard: claim(shard, asked), call.context.deadline
+        )
+        if decision.verdict is not Verdict.RUN:
+            return self.answer_repeated(key, decision)
+        self._note("once_claimed", call, key)
+        return self.run(asked, call, attempts)
+
+    def run(
+        self, asked: Claim, call: Call, attempts: Attempts, *, queued: bool = False
+    ) -> Response:
+        """Send a call that is recorded as claimed, and record what comes of it.
+
+        A `queued` call that turns out not to have been run waits to be sent again.
+        """
+        key, mark = asked.key, asked.mark
+        try:
+            response = attempts()
+        except CallError as error:
+            if error.not_run:
+                self._note("once_not_run", call, key, error.code)
+                self.settle_later(
+                    key, lambda shard: settle_not_run(shard, key, mark, queued=queued)
+                )
+                raise
+            self._note("once_unknown", call, key, error.code)
+            self.settle_later(key, lambda shard: settle_unknown(shard, key, mark))
+            raise OnceUnknown(
+                f"the call was sent and its outcome is unknown: {error.message}"
+            ) from error
+        self._note("once_done", call, key, str(response.status))
+        self._record_done(asked, response)
+        return _marked(response, "ran")
+
+    def new_claim(self, key: OnceKey, call: Call) -> Claim:
+        """Return a claim on `key` for a new attempt at `call`."""
+        request = call.request
+        own = self._board.membership.own
+        return Claim(
+            key=key,
+            fingerprint=fingerprint_of(request.method, request.url, request.body),
+            owner=self._board.own_id,
+            incarnation=own.incarnation,
+            mark=WriterMark(f"{call.context.id}-{self._board.random.randrange(2**62):x}"),
+            at_ms=self._board.clock.wall(),
+        )
+
+    def describe(self, service: str, key: str) -> Response:
+        """Return an answer that tells where `key` of `service` stands."""
+        full = full_key(ServiceName(service), key)
+        return _describe_record(full, self._keeper.record(full))
+
+    def settle_later(self, key: OnceKey, settlement: Settlement) -> None:
+        """Record an outcome in the background, for as long as that takes."""
+        self.unsettled += 1
+        eventlet.spawn_n(self._settle_until_done, key, settlement)
+
+    def record_claim(
+        self,
+        asked: Claim,
+        operation: Operation,
+        deadline: Millis,
+        *,
+        taken_back: Settlement | None = None,
+    ) -> Decision:
+        """Return the decision on a claim once it is durable, or raise `OnceUnrecorded`.
+
+        A claim whose fate isn't known is undone by `taken_back`, by default its removal.
+        """
+        try:
+            return self._keeper.apply(asked.key, operation, deadline)
+        except OnceUnrecorded:
+            undo = taken_back or (lambda shard: settle_not_run(shard, asked.key, asked.mark))
+            self.settle_later(asked.key, lambda shard: _fenced(shard, undo))
+            raise
+
+    def give_up_if_orphaned(self, key: OnceKey, record: Record) -> bool:
+        """Record an unknown outcome where the daemon that claimed `key` is gone."""
+        if not self._owner_is_gone(record):
+            return False
+        self._board.timeline.record("once_orphaned", key=key, detail=record.owner)
+        self.settle_later(key, lambda shard: settle_unknown(shard, key, WriterMark(record.mark)))
+        return True
+
+    def _record_done(self, asked: Claim, response: Response) -> None:
+        """Record the answer before the caller gets it, if the platform lets us."""
+        settled = eventlet.event.Event()
+
+        def record() -> None:
+            self._settle_until_done(asked.key, lambda shard: self._done(shard, asked, response))
+            settled.send()
+
+        self.unsettled += 1
+        eventlet.spawn_n(record)
+        with eventlet.Timeout(seconds(RECORD_WAIT_MS), False):
+            settled.wait()
+
+    def _done(self, shard: Shard, asked: Claim, response: Response) -> Shard:
+        return settle_done(shard, asked.key, asked.mark, self._kept_answer(asked.key, response))
+
+    def _kept_answer(self, key: OnceKey, response: Response) -> Answer:
+        content_type = response.header(b"content-type")
+        if len(response.body) <= MAX_INLINE_BYTES:
+            return Answer(response.status, content_type, response.body)
+        with suppress(ObjectConflict):
+            self._store.create(ANSWERS, key, response.body)
+        return Answer(response.status, content_type, apart=True)
+
+    def _settle_until_done(self, key: OnceKey, settlement: Settlement) -> None:
+        def operation(shard: Shard) -> Decision:
+            following = settlement(shard)
+            return Decision(Verdict.DONE, shard=None if following is shard else following)
+
+        while True:
+            deadline = Millis(self._board.clock.now() + SETTLE_TRY_MS)
+            try:
+                self._keeper.apply(key, operation, deadline)
+                break
+            except (OnceUnrecorded, PlatformError):
+                eventlet.sleep(seconds(SETTLE_RETRY_MS))
+        self.unsettled -= 1
+
+    def answer_repeated(self, key: OnceKey, decision: Decision) -> Response:
+        """Return or raise what a call gets whose key is already recorded."""
+        record = decision.record
+        if decision.verdict is Verdict.FULL:
+            raise OnceUnrecorded("the records are full; keys expire a day after their call")
+        if decision.verdict is Verdict.REUSED:
+            raise OnceKeyReused("the key stands for a request with another content")
+        if decision.verdict is Verdict.DONE:
+            return self._recorded_answer(key, record)
+        if decision.verdict is Verdict.UNKNOWN:
+            raise OnceUnknown("an earlier run with this key has an unknown outcome")
+        if decision.verdict is Verdict.QUEUED:
+            return queued_answer()
+        if self.give_up_if_orphaned(key, record):
+            raise OnceUnknown("the daemon that ran the call is gone, and its outcome unknown")
+        raise OnceRunning("an earlier run with this key hasn't ended")
+
+    def _recorded_answer(self, key: OnceKey, record: Record) -> Response:
+        answer = record.answer
+        body = answer.body
+        if answer.apart:
+            try:
+                body = self._store.read(ANSWERS, key).value
+            except (ObjectNotFound, PlatformError) as error:
+                raise OutcomeUnknown(f"the recorded answer can't be read: {error}") from error
+        headers = [(b"Content-Type", answer.content_type.encode("latin-1"))]
+        return _marked(Response(answer.status, headers, body), "recorded")
+
+    def _owner_is_gone(self, record: Record) -> bool:
+        row = self._board.membership.rows_by_id.get(InstanceId(record.owner))
+        return row is None or row.state not in LIVING or row.incarnation > record.incarnation
+
+    def _note(self, kind: str, call: Call, key: OnceKey, detail: str = "") -> None:
+        self._board.timeline.record(kind, call=call.context.id, key=key, detail=detail)
+
+
+def _fenced(shard: Shard, settlement: Settlement) -> Shard:
+    """Return a new shard even where nothing changes.
+
+    Writing it ends the version that a claim still on its way to the platform depends on.
+    """
+    following = settlement(shard)
+    return Shard(dict(shard.records_by_key)) if following is shard else following
+
+
+def queued_answer() -> Response:
+    """Return the answer to a call that is kept for later."""
+    return _marked(Response(202, [(b"Content-Type", b"application/json")], b"{}"), "queued")
+
+
+def _describe_record(key: OnceKey, record: Record | None) -> Response:
+    """Return an answer that tells where `key` stands."""
+    state = record.state.value if record else "absent"
+    body = msgspec.json.encode(
+        {"key": key, "state": state, "status": record.answer.status if _has_answer(record) else 0}
+    )
+    return _marked(Response(200, [(b"Content-Type", b"application/json")], body), state)
+
+
+def _has_answer(record: Record | None) -> bool:
+    return record is not None and record.state is OnceState.DONE and record.answer is not None
+
+
+def _read_key(call: Call) -> OnceKey:
+    key = call.request.header(KEY_HEADER.lower())
+    if not key:
+        raise OnceKeyMissing(f"the route {call.route.name} asks for {KEY_HEADER.decode()}")
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        raise OnceKeyMissing(f"{KEY_HEADER.decode()} has to be up to {MAX_KEY_LENGTH} characters")
+    return full_key(ServiceName(call.route.service), key)
+
+
+def _marked(response: Response, once: str) -> Response:
+    headers = [(name, value) for name, value in response.headers if name != ONCE_HEADER]
+    return msgspec.structs.replace(
+        response, headers=[*headers, (ONCE_HEADER, once.encode("ascii"))]
+    )
--- /dev/null
+++ b/egretworks/shards.py
@@ -0,0 +1,102 @@
+"""Update the shards of once-only records on the platform, each under its version's fence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from egretworks.exceptions import (
+    ObjectConflict,
+    ObjectNotFound,
+    PlatformError,
+    PlatformUnavailable,
+)
+from egretworks.objects import ObjectStore, dump, load
+from egretworks.once import Decision, Record, Shard, shard_of
+from egretworks.types import ETag, OnceKey
+
+ONCE = "once"
+# The kind of the objects that hold the requests of calls accepted for later.
+LATER = "later"
+MAX_TRIES = 20
+RETRY_MS = 20
+
+Operation = Callable[[Shard], Decision]
+Pause = Callable[[float], None]
+
+
+class _Held(msgspec.Struct, frozen=True):
+    shard: Shard
+    etag: ETag | None
+
+
+class ShardStore:
+    """Read and update shards on `store`; `pause` waits for milliseconds between two tries."""
+
+    def __init__(self, store: ObjectStore, pause: Pause) -> None:
+        self._store = store
+        self._pause = pause
+        self._held_by_shard: dict[int, _Held] = {}
+
+    def record(self, key: OnceKey) -> Record | None:
+        """Return what the platform has recorded of `key`."""
+        return self._read(shard_of(key)).shard.records_by_key.get(key)
+
+    def update(self, shard: int, operations: list[Operation]) -> list[Decision]:
+        """Apply `operations` in one conditional update and return their decisions.
+
+        They are applied again to a newer shard as often as another writer comes first, and after
+        a write whose answer was lost: the marks in the shard then tell an own write.
+        """
+        held = self._held_by_shard.get(shard)
+        fresh = held is None
+        failure: PlatformError = ObjectConflict("other daemons kept writing first")
+        for attempt in range(MAX_TRIES):
+            if held is None:
+                held = self._read(shard)
+                fresh = True
+            decisions, following = _apply(held.shard, operations)
+            if following is held.shard and fresh:
+                return decisions
+            # A decision that changes nothing must not rest on an old copy.
+            if following is not held.shard:
+                try:
+                    self._write(shard, following, held.etag)
+                    return decisions
+                except (ObjectConflict, PlatformUnavailable) as error:
+                    failure = error
+                    self._pause(RETRY_MS * attempt)
+            held = None
+            self._held_by_shard.pop(shard, None)
+        raise failure
+
+    def _read(self, shard: int) -> _Held:
+        try:
+            stored = self._store.read(ONCE, _name(shard))
+        except ObjectNotFound:
+            return _Held(Shard(), None)
+        held = _Held(load(stored.value, Shard), stored.etag)
+        self._held_by_shard[shard] = held
+        return held
+
+    def _write(self, shard: int, following: Shard, etag: ETag | None) -> None:
+        value = dump(following)
+        if etag is None:
+            written = self._store.create(ONCE, _name(shard), value)
+        else:
+            written = self._store.update(ONCE, _name(shard), value, etag)
+        self._held_by_shard[shard] = _Held(following, written)
+
+
+def _apply(shard: Shard, operations: list[Operation]) -> tuple[list[Decision], Shard]:
+    decisions = []
+    for operation in operations:
+        decision = operation(shard)
+        shard = shard if decision.shard is None else decision.shard
+        decisions.append(decision)
+    return decisions, shard
+
+
+def _name(shard: int) -> str:
+    return f"{shard:03d}"
--- a/egretworks/types.py
+++ b/egretworks/types.py
@@ -64,9 +64,9 @@
 class OnceState(str, Enum):
     """State where a once-only call stands."""
 
+    QUEUED = "queued"
     CLAIMED = "claimed"
     DONE = "done"
-    NOT_RUN = "not_run"
     UNKNOWN = "unknown"
 
 
--- a/examples/standins/target.py
+++ b/examples/standins/target.py
@@ -129,7 +129,7 @@
     document = {
         "service": options.service,
         "host": "127.0.0.1",
-        "port": options.port,
+        "port": options.announce_port or options.port,
         "slots": options.slots,
         "connections": options.connections,
         "state": "leaving" if target.leaving else "ready",
@@ -168,6 +168,7 @@
     parser.add_argument("--cold-ms", type=float, default=0)
     parser.add_argument("--drain-ms", type=float, default=1_500)
     parser.add_argument("--announce-ms", type=float, default=500)
+    parser.add_argument("--announce-port", type=int, help="port to announce in place of its own")
     parser.add_argument("--report-lag-ms", type=float, default=1_000)
     parser.add_argument("--seed", type=int, default=1)
     target = Target(parser.parse_args())
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -10,6 +10,8 @@
 import time
 from pathlib import Path
 
+from faultproxy import FaultProxy
+
 ROOT = Path(__file__).parent.parent
 WAIT_S = 30
 
@@ -208,6 +210,12 @@
         )
         return self.daemons
 
+    def proxy(self, port):
+        """Return a fault-injecting proxy to `port` that ends with the test."""
+        proxy = FaultProxy(port)
+        self.proxies.append(proxy)
+        return proxy
+
     def write_client_settings(self):
         addresses = ", ".join(f'"127.0.0.1:{d.operator_port}"' for d in self.daemons)
         self.client_settings.write_text(f"""
@@ -227,7 +235,7 @@
         """Run egretctl and return what it printed, decoded where it is JSON."""
         done = self.run_ctl(*arguments)
         assert done.returncode == status, (done.returncode, done.stdout, done.stderr)
-        return json.loads(done.stdout) if done.stdout[:1] in "{[" else done.stdout
+        return json.loads(done.stdout) if done.stdout[:1] in ("{", "[") else done.stdout
 
     def run_ctl(self, *arguments):
         return subprocess.run(
@@ -286,3 +294,20 @@
 repeat = "idempotent"
 match = { path_prefix = "/ledger", methods = ["GET"] }
 """
+
+PAYOUT_TICKET = """
+title = "payouts"
+[[services]]
+name = "payout-desk"
+[[routes]]
+name = "payouts"
+service = "payout-desk"
+repeat = "once"
+timeout_ms = 6000
+match = { path_prefix = "/payouts" }
+[[routes]]
+name = "payout-list"
+service = "payout-desk"
+repeat = "idempotent"
+match = { path_prefix = "/list" }
+"""
