--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,9 @@
 test: setup
 	$(BIN)/python -m pytest -q
 
+demo: setup
+	$(BIN)/python examples/demo.py
+
 lint: setup
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check .
--- a/examples/standins/platform.py
+++ b/examples/standins/platform.py
@@ -8,7 +8,7 @@
 
 import warnings
 
-warnings.simplefilter("ignore", DeprecationWarning)
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated.*")
 
 import eventlet
 
--- a/examples/standins/target.py
+++ b/examples/standins/target.py
@@ -8,7 +8,7 @@
 
 import warnings
 
-warnings.simplefilter("ignore", DeprecationWarning)
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated.*")
 
 import eventlet
 
@@ -39,6 +39,8 @@
         self.runs: dict[str, int] = {}
         self.loads = [(0.0, 0)]
         self.leaving = False
+        self.pool = urllib3.PoolManager(maxsize=50)
+        self.answers_on: dict[int, int] = {}
         self.behaviour = {
             "work_ms": options.work_ms,
             "slow_ms": 0,
@@ -73,6 +75,8 @@
         eventlet.sleep(min(work_ms, deadline_ms) / 1000)
         if work_ms > deadline_ms:
             return reply(start, "504 Gateway Timeout", b"deadline")
+        if self.options.calls and not self.call_on(environ):
+            return reply(start, "502 Bad Gateway", b"the call to another service failed")
         self.served += 1
         answer = {
             "target": self.options.id,
@@ -85,6 +89,22 @@
         }
         return reply(start, "200 OK", json.dumps(answer).encode())
 
+    def call_on(self, environ):
+        """Call another service through the daemon beside this target, within what time is left."""
+        headers = {
+            name: environ[f"HTTP_{name.upper().replace('-', '_')}"]
+            for name in ("Egret-Deadline-Ms", "Egret-Depth", "Egret-Call-Id")
+            if f"HTTP_{name.upper().replace('-', '_')}" in environ
+        }
+        address, slash, path = self.options.calls.partition("/")
+        url = f"http://{address}{slash}{path}"
+        try:
+            response = self.pool.request("GET", url, headers=headers, timeout=10, retries=False)
+        except urllib3.exceptions.HTTPError:
+            return False
+        self.answers_on[response.status] = self.answers_on.get(response.status, 0) + 1
+        return response.status == 200
+
     def work_ms(self):
         """Return how long the next piece of work takes: longer while cold or made slow."""
         work_ms = self.behaviour["work_ms"] + self.behaviour["slow_ms"]
@@ -114,7 +134,12 @@
             "load": {"busy": self.reported_load(), "slots": self.options.slots},
             "health": {"ok": True},
         }
-        counts = {"served": self.served, "shed": self.shed, "leaving": self.leaving}
+        counts = {
+            "answers_on": self.answers_on,
+            "served": self.served,
+            "shed": self.shed,
+            "leaving": self.leaving,
+        }
         return reply(start, "200 OK", json.dumps(pages.get(what, counts)).encode())
 
 
@@ -170,6 +195,7 @@
     parser.add_argument("--announce-ms", type=float, default=500)
     parser.add_argument("--announce-port", type=int, help="port to announce in place of its own")
     parser.add_argument("--report-lag-ms", type=float, default=1_000)
+    parser.add_argument("--calls", default="", help="address and path called for each request")
     parser.add_argument("--seed", type=int, default=1)
     target = Target(parser.parse_args())
     listener = eventlet.listen(("127.0.0.1", target.options.port), backlog=500)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -111,6 +111,10 @@
     def counts(self):
         return ask_json(self.port, "/admin/counts")
 
+    def object(self, kind, name):
+        """Return the value of an object, as text."""
+        return ask(self.port, "GET", f"/v1/objects/{kind}/{name}")[2].decode()
+
 
 class Daemon(Process):
     """Run one egretd by settings of its own."""
