--- a/egretworks/blackboard.py
+++ b/egretworks/blackboard.py
@@ -8,11 +8,21 @@
 
 from egretworks.clock import Clock, Millis, seconds
 from egretworks.config import Settings
-from egretworks.delivery import InForce
+from egretworks.delivery import InForce, Refusal
 from egretworks.membership import LIVING, Membership
 from egretworks.messages import MemberRow, TargetRow
+from egretworks.metrics import Metrics
 from egretworks.timeline import Timeline
-from egretworks.types import DataCentre, InstanceId, RandomSource, ServiceName, TargetId
+from egretworks.types import (
+    NO_VERSION,
+    DataCentre,
+    InstanceId,
+    RandomSource,
+    ServiceName,
+    TargetId,
+)
+
+Address = tuple[str, int]
 
 
 class Signal:
@@ -71,18 +81,29 @@
         random: RandomSource,
         membership: Membership,
         timeline: Timeline,
+        metrics: Metrics,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.random = random
         self.membership = membership
         self.timeline = timeline
+        self.metrics = metrics
         self.in_force = InForce()
         self.local_targets_by_id: dict[TargetId, LocalTarget] = {}
         self.reports_by_id: dict[InstanceId, Reported] = {}
         self.joined = False
+        # The other daemons named in the settings, and those that have answered this one.
+        self.seeds = _other_seeds(settings)
+        self.answered_seeds: set[Address] = set()
+        # Whether the platform has told this daemon the highest version.
+        self.confirmed = False
+        # What the others and the time line have been told.
+        self.announced_version = NO_VERSION
+        self.announced_refusal: Refusal | None = None
         # Unknown until this daemon has tried: only watchers do.
         self.platform_reached: bool | None = None
+        self.caught_up = Signal()
         self.ready = False
         self.stopping = False
         self.behind = Signal()
@@ -108,6 +129,18 @@
         return self._targets_by_service.get(service, [])
 
 
+def _other_seeds(settings: Settings) -> list[Address]:
+    own = (settings.instance.host, settings.instance.peer_port)
+    seeds = [parse_address(text) for text in settings.peers.seeds]
+    return [seed for seed in seeds if seed != own]
+
+
+def parse_address(text: str) -> Address:
+    """Return `text`, an IP number and a port, as a pair."""
+    host, _, port = text.rpartition(":")
+    return (host, int(port))
+
+
 def _by_service(membership: Membership) -> dict[ServiceName, list[KnownTarget]]:
     targets_by_service: dict[ServiceName, list[KnownTarget]] = {}
     for member in membership.rows_by_id.values():
--- a/egretworks/callport.py
+++ b/egretworks/callport.py
@@ -21,6 +21,7 @@
     encode_response,
     error_response,
 )
+from egretworks.presence import CallerPresence
 
 BACKLOG = 1_024
 LINGER_MS = 300
@@ -43,13 +44,19 @@
         self._settings = settings
         self._clock = clock
         self._serve = serve
-        self._listener = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, port))
-        self._listener.listen(BACKLOG)
+        self._listener = _bind(host, port)
         self._connections: set[_Connection] = set()
         self._stopping = False
 
+    def open(self) -> None:
+        """Let callers connect.
+
+        Before that the port is taken but refuses connections, so that callers try another daemon.
+        """
+        # Accepted connections inherit this, and let the port be bound again while they linger.
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.listen(BACKLOG)
+
     def run(self) -> None:
         """Accept connections until the port is closed."""
         while True:
@@ -89,6 +96,7 @@
             try:
                 sock, _ = self._listener.accept()
             except OSError:
+                # None is left, or the port was never opened.
                 return
             sock.settimeout(None)
             self._take(sock)
@@ -151,6 +159,7 @@
             if request is None:
                 return
             self._busy = True
+            request.presence = CallerPresence(self._sock)
             response = self._serve(request)
             if self.stopping:
                 response.keep_alive = False
@@ -209,3 +218,18 @@
         log.debug("a refusal could not be sent: %s", failure)
     finally:
         sock.close()
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    """Return a socket that holds a port, or raise `OSError` where another process does.
+
+    A port that isn't listened on could be taken twice if both sides allowed its reuse, so that is
+    asked for only where connections of an earlier process linger.
+    """
+    listener = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.bind((host, port))
+    except OSError:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+    return listener
--- a/egretworks/daemon.py
+++ b/egretworks/daemon.py
@@ -65,8 +65,10 @@
         )
         timeline = Timeline(InstanceId(instance.id), self.clock)
         membership = Membership(own, self.random)
-        self.board = Blackboard(settings, self.clock, self.random, membership, timeline)
         self.metrics = Metrics()
+        self.board = Blackboard(
+            settings, self.clock, self.random, membership, timeline, self.metrics
+        )
         self.upstream = Upstream(
             self.clock,
             connect_ms=settings.calls.connect_ms,
@@ -81,7 +83,7 @@
         self.board.timeline.record("started")
         eventlet.spawn_n(self.gossip.run)
         eventlet.spawn_n(self.operator_port.run)
-        eventlet.spawn_n(self.call_port.run)
+        eventlet.spawn_n(self._take_calls_when_ready)
         eventlet.spawn_n(self._keep_house)
         eventlet.spawn_n(self._wake_waiting)
         eventlet.spawn_n(self.later.run)
@@ -171,6 +173,20 @@
     def _new_mark(self) -> WriterMark:
         return WriterMark(f"{self.board.own_id}-{self.random.getrandbits(64):x}")
 
+    def _take_calls_when_ready(self) -> None:
+        while not self.board.caught_up.wait(HOUSEKEEPING_MS):
+            if self.board.stopping:
+                return
+        try:
+            self.call_port.open()
+        except OSError as error:
+            log.error("the call port can't be opened: %s", error)
+            self.stop()
+            return
+        self.board.ready = True
+        self.board.timeline.record("ready", version=self.board.in_force.version)
+        self.call_port.run()
+
     def _keep_house(self) -> None:
         while not self.board.stopping:
             eventlet.sleep(seconds(HOUSEKEEPING_MS))
--- a/egretworks/delivery.py
+++ b/egretworks/delivery.py
@@ -8,17 +8,20 @@
 
 import msgspec
 
-from egretworks.exceptions import ChangeRefused
+from egretworks.exceptions import ChangeRefused, TicketError
 from egretworks.ledger import decode_state, encode_state
 from egretworks.membership import rendezvous
 from egretworks.messages import MemberRow, SyncReply
 from egretworks.state import Change, MeshState, apply_change
-from egretworks.types import DataCentre, InstanceId, RandomSource, Version
+from egretworks.tickets import check_body, check_policies
+from egretworks.types import DataCentre, InstanceId, RandomSource, TicketNumber, Version
 
 # A reply carries at most this many changes; a daemon further behind gets the whole state.
 KEPT_CHANGES = 256
 WATCHERS_PER_DATA_CENTRE = 2
 
+Address = tuple[str, int]
+
 
 class Offer(Enum):
     """Say what became of a change or state that was offered."""
@@ -57,10 +60,11 @@
         if change.version > self.version + 1:
             return Offer.GAP
         try:
+            if not change.void:
+                check_body(change.body)
             state = apply_change(self.state, change)
-        except ChangeRefused as error:
-            self.refusal = Refusal(change.version, change.ticket, error.message)
-            return Offer.REFUSED
+        except TicketError as error:
+            return self.refuse(Version(change.version), TicketNumber(change.ticket), error.message)
         self.state = state
         self.refusal = None
         self._kept.append((change.version, msgspec.msgpack.encode(change)))
@@ -70,11 +74,31 @@
         """Take over a whole, checked state if its version is higher."""
         if state.version <= self.version:
             return Offer.OLD
+        try:
+            check_policies(state.services_by_name.values())
+        except TicketError as error:
+            return self.refuse(state.version, state.ticket, error.message)
         self.state = state
         self.refusal = None
         self._kept.clear()
         return Offer.APPLIED
 
+    def offer_unread(self, version: Version, value: str | bytes) -> Offer:
+        """Apply the change in the object of `version`, or refuse one that can't be read."""
+        if version <= self.version:
+            return Offer.OLD
+        try:
+            change = msgspec.json.decode(value, type=Change)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return self.refuse(version, TicketNumber(0), str(error))
+        return self.offer(change)
+
+    def refuse(self, version: Version, ticket: TicketNumber, reason: str) -> Offer:
+        """Note that a version can't be applied; the state in force stays whole."""
+        if version == self.version + 1 or self.refusal is None:
+            self.refusal = Refusal(version, ticket, reason)
+        return Offer.REFUSED
+
     def offer_reply(self, reply: SyncReply) -> Offer:
         """Take in what a peer sent: a whole state, changes, or both."""
         outcome = Offer.OLD
@@ -84,8 +108,7 @@
             for data in reply.changes:
                 outcome = self.offer(msgspec.msgpack.decode(data, type=Change))
         except (ChangeRefused, msgspec.MsgspecError) as error:
-            self.refusal = Refusal(reply.version, 0, str(error))
-            return Offer.REFUSED
+            return self.refuse(Version(reply.version), TicketNumber(0), str(error))
         return outcome
 
     def reply_after(self, version: Version) -> SyncReply:
@@ -123,3 +146,9 @@
     random.shuffle(ahead)
     ahead.sort(key=lambda row: row.data_centre != data_centre)
     return ahead
+
+
+def most_answered(seeds: Iterable[Address], answered: set[Address]) -> bool:
+    """Return whether more than half of `seeds` have answered."""
+    asked = set(seeds)
+    return 2 * len(asked & answered) > len(asked)
--- a/egretworks/dispatch.py
+++ b/egretworks/dispatch.py
@@ -20,6 +20,7 @@
     DeadlineExceeded,
     NoRoute,
     NotReady,
+    OutcomeUnknown,
     Overloaded,
     TargetRefused,
 )
@@ -123,8 +124,10 @@
         )
         call = Call(request, route, context)
         if route.repeat is Repeat.ONCE:
+            # What may run once is seen through and recorded, whether its caller waits or not.
             return self._once().serve(call, lambda: self.attempts(call))
-        return self.attempts(call)
+        with request.presence:
+            return self.attempts(call)
 
     def route_of(self, request: Request) -> Route:
         """Return the route in force that `request` matches, or raise `NoRoute`."""
@@ -150,11 +153,13 @@
         budget = self._budget(ServiceName(call.route.service))
         budget.earn(call.route.retry.budget_percent)
         attempt = 1
+        may_have_run = False
         while True:
             self._metrics.count("attempts")
             try:
                 return self._attempt(call)
             except CallError as error:
+                may_have_run = may_have_run or not error.not_run
                 delay = retry_delay_ms(
                     error,
                     attempt,
@@ -166,7 +171,7 @@
                     self._board.random,
                 )
                 if delay is None:
-                    raise
+                    raise _truthful(error, may_have_run) from error
             self._metrics.count("retries")
             eventlet.sleep(seconds(delay))
             attempt += 1
@@ -213,7 +218,7 @@
     def _note_failure(self, entry: Entry, error: CallError, started: Millis) -> None:
         now = self._board.clock.now()
         if isinstance(error, TargetRefused):
-            entry.load.shed()
+            entry.load.shed(now)
         elif isinstance(error, ConnectFailed):
             entry.load.failed(now)
         elif isinstance(error, AttemptTimeout):
@@ -284,3 +289,10 @@
                 self._pools_by_service[ServiceName(name)] = ServicePool(service, self._board.random)
             else:
                 pool.service = service
+
+
+def _truthful(error: CallError, may_have_run: bool) -> CallError:
+    """Return `error`, or one that doesn't say "not run" where an earlier attempt may have run."""
+    if error.not_run and may_have_run:
+        return OutcomeUnknown(f"an earlier attempt may have run; the last one: {error.message}")
+    return error
--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -4,6 +4,7 @@
 
 import json
 from collections import deque
+from contextlib import AbstractContextManager, nullcontext
 from http import HTTPStatus
 
 import httptools
@@ -44,6 +45,8 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    # Entered while the answer is worked out, to end that when the caller goes away.
+    presence: AbstractContextManager = nullcontext()
 
     def header(self, name: bytes) -> str:
         """Return the first header called `name` in lower case, or an empty text."""
@@ -87,12 +90,12 @@
     @property
     def begun(self) -> bool:
         """Return whether part of a request has come."""
-        return self._header_bytes > 0
+        return self._begun
 
     def feed(self, data: bytes) -> None:
         """Take in bytes, or raise `BadRequest`."""
-        if not self._headers_done:
-            self._header_bytes += len(data)
+        unread = 0 if self._headers_done else len(data)
+        self._begun = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -101,8 +104,9 @@
             raise BadRequest(str(error.__context__ or error)) from error
         except httptools.HttpParserError as error:
             raise BadRequest(f"the request can't be read: {error}") from error
-        if not self._headers_done and self._header_bytes > MAX_HEADER_BYTES:
-            raise BadRequest(f"the headers are over {MAX_HEADER_BYTES} bytes")
+        if self._begun and not self._headers_done:
+            # The parser holds a header that hasn't ended yet.
+            self._count_header_bytes(unread)
 
     def next(self) -> Request | None:
         """Return the next whole request, or None."""
@@ -115,15 +119,27 @@
         self._body_bytes = 0
         self._header_bytes = 0
         self._headers_done = False
+        self._begun = False
+
+    def _count_header_bytes(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > MAX_HEADER_BYTES:
+            raise BadRequest(f"the headers are over {MAX_HEADER_BYTES} bytes")
 
     # The parser calls these.
 
+    def on_message_begin(self) -> None:
+        """Note that part of a request has come."""
+        self._begun = True
+
     def on_url(self, url: bytes) -> None:
         """Collect a part of the URL."""
+        self._count_header_bytes(len(url))
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
+        self._count_header_bytes(len(name) + len(value))
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/egretworks/ledger.py
+++ b/egretworks/ledger.py
@@ -173,13 +173,17 @@
 
     def changes_after(self, version: Version) -> Iterator[Change]:
         """Yield the accepted changes above `version`, in order."""
+        for _, value in self.written_changes_after(version):
+            yield load(value, Change)
+
+    def written_changes_after(self, version: Version) -> Iterator[tuple[Version, str]]:
+        """Yield the versions above `version` with their changes as written, in order."""
         after = version
         while True:
             page = self._store.list(CHANGES, after=object_name(after))
             for item in page.items:
-                change = load(item.value, Change)
-                yield change
-                after = change.version
+                after = Version(int(item.name))
+                yield after, item.value
             if len(page.items) < LIST_LIMIT:
                 return
 
--- a/egretworks/loads.py
+++ b/egretworks/loads.py
@@ -58,10 +58,13 @@
         if work is WorkClass.SHORT:
             self._note_latency(took_ms, now)
 
-    def shed(self) -> None:
-        """Learn that the target refused a call for want of room."""
+    def shed(self, now: Millis) -> None:
+        """Learn that the target refused a call: it has no room, or it is leaving."""
         self._shed_before = True
         self.limit = max(1.0, min(self.limit, self.outstanding) * SHED_FACTOR)
+        if self.outstanding <= 1:
+            # It refuses even the only call that this daemon has there.
+            self.failed(now)
 
     def failed(self, now: Millis) -> None:
         """Learn that the target couldn't be reached: leave it alone for a while."""
--- a/egretworks/spreading.py
+++ b/egretworks/spreading.py
@@ -4,10 +4,10 @@
 
 import eventlet
 
-from egretworks.blackboard import Blackboard
+from egretworks.blackboard import Address, Blackboard
 from egretworks.clock import seconds
 from egretworks.controllers import Links, controller
-from egretworks.delivery import Offer, pull_sources
+from egretworks.delivery import Offer, most_answered, pull_sources
 from egretworks.exceptions import PeerError
 from egretworks.membership import Outgoing
 from egretworks.messages import (
@@ -28,7 +28,7 @@
 TICK_MS = 100
 JOIN_RETRY_MS = 500
 PULL_RETRY_MS = 200
-Address = tuple[str, int]
+SEEDS_AT_A_TIME = 3
 
 
 def receive(board: Blackboard, message: Datagram) -> list[Outgoing]:
@@ -65,16 +65,14 @@
     return MembersReply(membership.highest_version, rows)
 
 
-def came_into_force(board: Blackboard, links: Links, before: Version) -> None:
-    """Tell the others and the time line that a version above `before` is in force."""
+def came_into_force(board: Blackboard, links: Links) -> None:
+    """Tell the others and the time line of a version or a refusal that they don't know yet."""
+    _note_refusal(board)
     version = board.in_force.version
-    refusal = board.in_force.refusal
-    if refusal is not None:
-        board.timeline.record(
-            "refused", ticket=refusal.ticket, version=refusal.version, detail=refusal.reason
-        )
-    if version == before:
+    # Several controllers bring versions in: only the first of them tells of each.
+    if version == board.announced_version:
         return
+    board.announced_version = version
     board.membership.version = version
     board.membership.hear_version(board.own_id, version)
     board.timeline.record("in_force", ticket=board.in_force.state.ticket, version=version)
@@ -82,6 +80,18 @@
     board.version_changed.set()
 
 
+def _note_refusal(board: Blackboard) -> None:
+    refusal = board.in_force.refusal
+    if refusal == board.announced_refusal:
+        return
+    board.announced_refusal = refusal
+    if refusal is not None:
+        board.timeline.record(
+            "refused", ticket=refusal.ticket, version=refusal.version, detail=refusal.reason
+        )
+        board.version_changed.set()
+
+
 @controller("tick")
 def run_ticks(board: Blackboard, links: Links) -> None:
     """Advance probes and suspicions."""
@@ -92,35 +102,41 @@
 
 @controller("join")
 def run_join(board: Blackboard, links: Links) -> None:
-    """Join by the seeds, and again whenever no other daemon is known."""
-    seeds = [parse_address(text) for text in board.settings.peers.seeds]
-    own = (board.settings.instance.host, board.settings.instance.peer_port)
-    seeds = [seed for seed in seeds if seed != own]
+    """Ask the seeds until most have answered, and again whenever no other daemon is known."""
     while not board.stopping:
-        if len(board.membership.living()) == 1:
-            board.random.shuffle(seeds)
-            board.joined = any([_exchange_members(board, links, seed) for seed in seeds[:3]])
-            board.behind.set()
+        alone = len(board.membership.living()) == 1
+        if alone or not (board.ready or most_answered(board.seeds, board.answered_seeds)):
+            unanswered = [s for s in board.seeds if s not in board.answered_seeds]
+            _ask_seeds(board, links, board.seeds if alone else unanswered)
         eventlet.sleep(seconds(JOIN_RETRY_MS * (0.5 + board.random.random())))
 
 
+def _ask_seeds(board: Blackboard, links: Links, seeds: list[Address]) -> None:
+    """Exchange members with some of `seeds`."""
+    for seed in board.random.sample(seeds, min(len(seeds), SEEDS_AT_A_TIME)):
+        board.metrics.count("joins")
+        if _exchange_members(board, links, seed):
+            board.answered_seeds.add(seed)
+            board.joined = True
+            board.behind.set()
+
+
 @controller("repair")
 def run_repair(board: Blackboard, links: Links) -> None:
     """Compare the member table with another daemon's from time to time."""
-    seeds = [parse_address(text) for text in board.settings.peers.seeds]
     while not board.stopping:
         eventlet.sleep(seconds(board.settings.peers.repair_ms * (0.5 + board.random.random())))
         others = [r for r in board.membership.living() if r.id != board.own_id]
         if others:
             row = others[board.random.randrange(len(others))]
             _exchange_members(board, links, (row.host, row.peer_port))
-        _rejoin_lost_seed(board, links, seeds)
+        _rejoin_lost_seed(board, links)
 
 
-def _rejoin_lost_seed(board: Blackboard, links: Links, seeds: list[Address]) -> None:
+def _rejoin_lost_seed(board: Blackboard, links: Links) -> None:
     """Ask one seed that isn't known to live, so that parted regions find each other again."""
     known = {(row.host, row.peer_port) for row in board.membership.living()}
-    lost = [seed for seed in seeds if seed not in known]
+    lost = [seed for seed in board.seeds if seed not in known]
     if lost:
         _exchange_members(board, links, lost[board.random.randrange(len(lost))])
 
@@ -169,11 +185,5 @@
     except PeerError:
         return False
     outcome = board.in_force.offer_reply(reply)
-    came_into_force(board, links, before)
+    came_into_force(board, links)
     return outcome is Offer.APPLIED
-
-
-def parse_address(text: str) -> Address:
-    """Return `text`, an IP number and a port, as a pair."""
-    host, _, port = text.rpartition(":")
-    return (host, int(port))
--- a/egretworks/tickets.py
+++ b/egretworks/tickets.py
@@ -5,13 +5,14 @@
 import json
 import tomllib
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
 
 from egretworks.balancing import BALANCERS_BY_NAME
 from egretworks.exceptions import TicketInvalid
-from egretworks.resources import TicketBody
+from egretworks.resources import Service, TicketBody
 from egretworks.types import TicketState
 
 
@@ -61,7 +62,12 @@
     _check_unique("routes", [r.name for r in body.routes] + list(body.remove.routes))
     if not (body.services or body.routes or body.remove.services or body.remove.routes):
         raise TicketInvalid("the ticket touches nothing")
-    for index, service in enumerate(body.services):
+    check_policies(body.services)
+
+
+def check_policies(services: Iterable[Service]) -> None:
+    """Raise `TicketInvalid` unless this build has the policies that `services` ask for."""
+    for index, service in enumerate(services):
         if service.balance not in BALANCERS_BY_NAME:
             known = ", ".join(sorted(BALANCERS_BY_NAME))
             raise TicketInvalid(
--- a/egretworks/watching.py
+++ b/egretworks/watching.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import eventlet
 
 from egretworks.blackboard import Blackboard
 from egretworks.clock import seconds
 from egretworks.controllers import Links, controller
-from egretworks.delivery import Offer, watchers
+from egretworks.delivery import Offer, most_answered, watchers
 from egretworks.exceptions import (
     ObjectConflict,
     PlatformError,
@@ -16,15 +18,17 @@
 )
 from egretworks.ledger import CHANGES
 from egretworks.membership import rendezvous
-from egretworks.objects import WatchBatch, load
+from egretworks.objects import WatchBatch
 from egretworks.spreading import came_into_force
-from egretworks.state import Change
-from egretworks.types import NO_VERSION
+from egretworks.types import NO_VERSION, Version
 
 IDLE_MS = 500
 JOIN_GRACE_MS = 1_500
 PLATFORM_RETRY_MS = 500
 SNAPSHOT_EVERY = 64
+READY_CHECK_MS = 20
+# A new daemon reads the platform itself after this time, spread over as much again.
+CONFIRM_GRACE_MS = 3_000
 
 
 @controller("watch")
@@ -50,18 +54,29 @@
 
 @controller("ready")
 def run_ready(board: Blackboard, links: Links) -> None:
-    """Declare the daemon ready once it has the highest version that it has heard of.
+    """Let the daemon take calls once it has the highest version that it could have served before.
 
-    Without that, an instance that is replaced while its peers lag would fall back behind what its
-    predecessor served.
+    An instance that is replaced while its peers lag would otherwise fall back behind what its
+    predecessor served. It is told the highest version by the platform or by most of its seeds.
     """
-    while not board.ready and not board.stopping:
+    started_at = board.clock.now()
+    patience_ms = CONFIRM_GRACE_MS * (1 + board.random.random())
+    while not board.stopping:
         version = board.in_force.version
-        if version > NO_VERSION and version >= board.membership.highest_version:
-            board.ready = True
-            board.timeline.record("ready", version=version)
+        confirmed = board.confirmed or most_answered(board.seeds, board.answered_seeds)
+        if confirmed and version > NO_VERSION and version >= board.membership.highest_version:
+            board.caught_up.set()
             return
-        eventlet.sleep(seconds(20))
+        if not confirmed and board.clock.now() - started_at > patience_ms:
+            _confirm_by_platform(board, links)
+            started_at = board.clock.now()
+        eventlet.sleep(seconds(READY_CHECK_MS))
+
+
+def _confirm_by_platform(board: Blackboard, links: Links) -> None:
+    """Read the platform once, where too few of the seeds are there to be asked."""
+    with suppress(PlatformError):
+        _read_all(board, links)
 
 
 def _await_join(board: Blackboard) -> None:
@@ -91,9 +106,11 @@
 def _apply(board: Blackboard, links: Links, batch: WatchBatch) -> bool:
     """Offer the changes of a watch in order and return whether none was missing."""
     before = board.in_force.version
-    changes = [load(event.value, Change) for event in batch.events if event.value]
-    outcomes = [board.in_force.offer(change) for change in sorted(changes, key=lambda c: c.version)]
-    came_into_force(board, links, before)
+    written = sorted((event for event in batch.events if event.value), key=lambda e: e.name)
+    outcomes = [
+        board.in_force.offer_unread(Version(int(event.name)), event.value) for event in written
+    ]
+    came_into_force(board, links)
     _snapshot_if_due(board, links, before)
     return Offer.GAP not in outcomes
 
@@ -104,9 +121,10 @@
     before = board.in_force.version
     if before == NO_VERSION:
         board.in_force.offer_state(links.ledger.snapshot())
-    for change in links.ledger.changes_after(board.in_force.version):
-        board.in_force.offer(change)
-    came_into_force(board, links, before)
+    for number, value in links.ledger.written_changes_after(board.in_force.version):
+        board.in_force.offer_unread(number, value)
+    board.confirmed = True
+    came_into_force(board, links)
     return position
 
 
--- a/examples/standins/caller.py
+++ b/examples/standins/caller.py
@@ -18,6 +18,7 @@
 import hashlib
 import json
 import random
+import signal
 import time
 from collections import Counter
 
@@ -39,7 +40,7 @@
         }
         self.results = Counter()
         self.latencies_ms = []
-        self.wrong = []
+        self.stopped = False
 
     def run(self):
         """Send for as long as asked and return the totals."""
@@ -47,7 +48,7 @@
         started = time.monotonic()
         at = 0.0
         number = 0
-        while at < self.options.seconds:
+        while at < self.options.seconds and not self.stopped:
             delay = started + at - time.monotonic()
             if delay > 0:
                 eventlet.sleep(delay)
@@ -59,7 +60,7 @@
 
     def send(self, number, due):
         """Send one request; its time counts from when it was due."""
-        port = self.ports[self.random.randrange(len(self.ports))]
+        ports = self.random.sample(self.ports, len(self.ports))
         path = f"{self.options.path}/{self.options.seed}-{number}"
         body = None
         headers = {"Egret-Deadline-Ms": str(self.options.timeout_ms)}
@@ -67,19 +68,27 @@
             body = f"body {self.options.seed}-{number}".encode()
             headers["Idempotency-Key"] = f"{self.options.seed}-{number}"
         try:
-            response = self.pools[port].request(
-                self.options.method,
-                path,
-                body=body,
-                headers=headers,
-                timeout=self.options.timeout_ms / 1000 + 2,
-            )
+            response = self.send_to_first(ports, path, body, headers)
         except urllib3.exceptions.HTTPError as error:
             self.results[f"cut: {type(error).__name__}"] += 1
             return
         self.judge(response, path, body)
         self.latencies_ms.append((time.monotonic() - due) * 1000)
 
+    def send_to_first(self, ports, path, body, headers):
+        """Send a request to the first daemon that takes connections."""
+        timeout = self.options.timeout_ms / 1000 + 2
+        for port in ports[:-1]:
+            try:
+                return self.pools[port].request(
+                    self.options.method, path, body=body, headers=headers, timeout=timeout
+                )
+            except urllib3.exceptions.NewConnectionError:
+                continue
+        return self.pools[ports[-1]].request(
+            self.options.method, path, body=body, headers=headers, timeout=timeout
+        )
+
     def judge(self, response, path, body):
         """Count an answer, and check that it is the whole answer to this request."""
         if response.status != 200:
@@ -130,7 +139,9 @@
     parser.add_argument("--seconds", type=float, default=5)
     parser.add_argument("--timeout-ms", type=int, default=2_000)
     parser.add_argument("--seed", type=int, default=1)
-    print(json.dumps(Caller(parser.parse_args()).run()), flush=True)
+    caller = Caller(parser.parse_args())
+    signal.signal(signal.SIGTERM, lambda *_: setattr(caller, "stopped", True))
+    print(json.dumps(caller.run()), flush=True)
 
 
 if __name__ == "__main__":
--- a/examples/standins/platform.py
+++ b/examples/standins/platform.py
@@ -35,7 +35,8 @@
         self.compacted = 0
         self.waiters: list[eventlet.event.Event] = []
         self.counts = {"reads": 0, "writes": 0, "watches": 0}
-        self.faults = {"delay_ms": 0, "outage": False, "lose_answers": 0, "frozen_at": None}
+        self.faults = {"delay_ms": 0, "outage": False, "lose_answers": 0, "stale": False}
+        self.saved = ({}, [], 0)
 
     def __call__(self, environ, start):
         method = environ["REQUEST_METHOD"]
@@ -59,29 +60,38 @@
         if what == "faults":
             self.faults.update(json.loads(environ["wsgi.input"].read() or b"{}"))
             return reply(start, "200 OK", json.dumps(self.faults).encode())
+        if what == "save":
+            self.saved = (dict(self.objects), list(self.history), self.position)
+            return reply(start, "200 OK", b"{}")
         if what == "compact":
             self.compacted, self.history = self.position, []
             return reply(start, "200 OK", b"{}")
         return reply(start, "200 OK", json.dumps(self.counts).encode())
 
+    def shown(self):
+        """Return what reads show: stale ones show what was saved before."""
+        return self.saved if self.faults["stale"] else (self.objects, self.history, self.position)
+
     def read(self, start, key):
         self.counts["reads"] += 1
-        if key not in self.objects:
+        objects, _, _ = self.shown()
+        if key not in objects:
             return reply(start, "404 Not Found")
-        version, value = self.objects[key]
+        version, value = objects[key]
         return reply(start, "200 OK", value, version)
 
     def listing(self, start, kind, query):
         self.counts["reads"] += 1
         after, limit = query.get("after", ""), int(query.get("limit", 500))
-        names = sorted(n for k, n in self.objects if k == kind and n > after)[:limit]
+        objects, _, position = self.shown()
+        names = sorted(n for k, n in objects if k == kind and n > after)[:limit]
         items = []
         for name in names:
-            version, value = self.objects[kind, name]
+            version, value = objects[kind, name]
             items.append(
                 {"name": name, "etag": f'"{version}"', "value": value.decode(errors="replace")}
             )
-        body = json.dumps({"position": self.position, "items": items}).encode()
+        body = json.dumps({"position": position, "items": items}).encode()
         return reply(start, "200 OK", body)
 
     def write(self, environ, start, method, key):
@@ -131,12 +141,12 @@
                     "etag": f'"{p}"',
                     "value": v if v is None else v.decode(errors="replace"),
                 }
-                for p, k, n, v in self.history
+                for p, k, n, v in self.shown()[1]
                 if p > after and k == kind
             ]
             left = until - time.monotonic()
             if events or left <= 0:
-                body = json.dumps({"position": self.position, "events": events}).encode()
+                body = json.dumps({"position": self.shown()[2], "events": events}).encode()
                 return reply(start, "200 OK", body)
             waiter = eventlet.event.Event()
             self.waiters.append(waiter)
--- /dev/null
+++ b/tests/scriptedtarget.py
@@ -0,0 +1,107 @@
+"""Answer calls by a script, byte by byte, as a target that misbehaves would."""
+
+import json
+import socket
+import threading
+import time
+
+from processes import ask
+
+NOT_RUN = (
+    b"HTTP/1.1 503 Service Unavailable\r\nEgret-Not-Run: true\r\nContent-Length: 4\r\n\r\nshed"
+)
+
+
+def whole(body, *headers):
+    """Return a whole answer with `body`."""
+    lines = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body), *headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class ScriptedTarget:
+    """Answer each request with the next of `answers`, which are bytes or functions.
+
+    A function gets the request and returns bytes, None to close the connection, or an event to
+    set once the daemon closes it.
+    """
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.requests = []
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def announce(self, id, service, daemon, slots=50):
+        """Announce the target to `daemon` for as long as the test runs."""
+        document = {
+            "service": service,
+            "host": "127.0.0.1",
+            "port": self.port,
+            "slots": slots,
+            "connections": 200,
+        }
+
+        def repeat():
+            while True:
+                try:
+                    ask(daemon.operator_port, "PUT", f"/v1/targets/{id}", json.dumps(document))
+                except OSError:
+                    return
+                time.sleep(0.5)
+
+        threading.Thread(target=repeat, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with sock:
+            while True:
+                request = _read_request(sock)
+                if request is None:
+                    return
+                self.requests.append(request)
+                answer = self.answers(request) if callable(self.answers) else self._next(request)
+                if answer is None:
+                    return
+                if isinstance(answer, threading.Event):
+                    sock.recv(1)
+                    answer.set()
+                    return
+                try:
+                    sock.sendall(answer)
+                except OSError:
+                    return
+
+    def _next(self, request):
+        answer = self.answers.pop(0)
+        return answer(request) if callable(answer) else answer
+
+
+def _read_request(sock):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = sock.recv(65_536)
+        if not received:
+            return None
+        data += received
+    head, _, body = data.partition(b"\r\n\r\n")
+    lengths = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
+    length = int(lengths[0].split(b":")[1]) if lengths else 0
+    while len(body) < length:
+        body += sock.recv(65_536)
+    return head + b"\r\n\r\n" + body
+
+
+def path_of(request):
+    """Return the path of a request as text."""
+    return request.split(b" ", 2)[1].decode()
--- a/tests/test_oncecalls.py
+++ b/tests/test_oncecalls.py
@@ -202,4 +202,5 @@
 
 def test_the_place_to_ask_for_a_key_needs_a_service_and_a_key(mesh):
     (only,) = mesh.start_daemons(1)
+    mesh.put_in_force(PAYOUT_TICKET)
     assert ask(only.call_port, "GET", "/.egret/once/payout-desk")[0] == 400
