Prove what must hold with real processes, and mend what that found

Each fault, as the new tests first showed it, and what ended it:

- A member taken for dead wasn't told by those that it pinged, and so could not refute it before the tables were compared.
The answer to its ping now brings the row.

Ruled out: the replaced daemon's test first failed for a cause of its own: the lagging peer had the platform's answer waiting in its socket and so didn't lag. The test now ends that connection while the peer is frozen. Tests of two workers took each other's ports; they now have ranges of their own, below those that the system hands out.

A partition in which both sides run on isn't tried, since daemons talk directly over UDP.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,11 @@
 	touch $@
 
 test: setup
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q --numprocesses 6
+
+soak: setup
+	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest -q tests/test_once.py tests/test_delivery.py \
+		tests/test_state.py tests/test_membership.py
 
 demo: setup
 	$(BIN)/python examples/demo.py
--- a/egretworks/membership.py
+++ b/egretworks/membership.py
@@ -193,7 +193,11 @@
         sender = self.rows_by_id.get(InstanceId(ping.sender))
         if sender is None:
             return []
-        ack = Ack(ping.seq, self.own_id, self.version, self._ride(), ping.origin)
+        rows = self._ride()
+        if sender.state is not MemberState.ALIVE:
+            # Only the sender itself can refute what is believed of it, once it knows.
+            rows = (sender, *rows)
+        ack = Ack(ping.seq, self.own_id, self.version, rows, ping.origin)
         return [Outgoing(sender.host, sender.peer_port, ack)]
 
     def _take_ack(self, ack: Ack, sender: InstanceId) -> list[Outgoing]:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,6 +1,7 @@
 """Start the platform's stand-in, daemons and targets as processes, and wait for conditions."""
 
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -14,6 +15,8 @@
 
 ROOT = Path(__file__).parent.parent
 WAIT_S = 30
+FIRST_PORT = 10_000
+PORTS_PER_WORKER = 1_200
 
 
 def wait_for(condition, what, timeout_s=WAIT_S):
@@ -28,13 +31,22 @@
         time.sleep(0.03)
 
 
+def _ports():
+    """Yield ports below those that the system hands out, from a range of this test worker's own."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    first = FIRST_PORT + int(worker) * PORTS_PER_WORKER
+    yield from itertools.cycle(range(first, first + PORTS_PER_WORKER))
+
+
+_next_ports = _ports()
+
+
 def free_port():
     """Return a port that is free for TCP and UDP on loopback."""
-    while True:
+    for port in _next_ports:
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
--- a/tests/test_in_force_everywhere.py
+++ b/tests/test_in_force_everywhere.py
@@ -41,9 +41,12 @@
 
 
 def test_a_replaced_daemon_serves_nothing_older_while_its_peers_lag_and_the_platform_is_down(mesh):
-    ahead, frozen_ahead, lagging = mesh.start_daemons(3)
+    proxy = mesh.proxy(mesh.platform.port)
+    ahead, frozen_ahead, lagging = mesh.start_daemons(3, platform_port=proxy.port)
     mesh.put_in_force(LEDGER_TICKET)
     lagging.signal(signal.SIGSTOP)
+    # An answer to its watch could otherwise wait in its socket until it goes on.
+    proxy.cut_open()
     mesh.ctl("file", mesh.ticket_file(a_ticket(2)))
     mesh.ctl("accept", 2)
     mesh.await_version(2, [ahead, frozen_ahead])
