Measure slopes, the hop and convergence; remember roles and digests

Cause: at 24,000 members the choice of watchers and aggregator took 2.8 and 4.2 ms each time, about four times a second, and a comparison of tables 38.8 ms: over 2.1% of a core. At rest a daemon took 2.6 to 3.1% of a core.

The shards of once-only records, 256 of them, were full at about 1,600 records each; there are now 16,384, and a daemon keeps copies of 64.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,9 @@
 demo: setup
 	$(BIN)/python examples/demo.py
 
+measure: setup
+	$(BIN)/python -m measure
+
 lint: setup
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check .
--- a/egretworks/blackboard.py
+++ b/egretworks/blackboard.py
@@ -8,7 +8,7 @@
 
 from egretworks.clock import Clock, Millis, seconds
 from egretworks.config import Settings
-from egretworks.delivery import InForce, Refusal
+from egretworks.delivery import InForce, Refusal, aggregator, watchers
 from egretworks.membership import LIVING, Membership
 from egretworks.messages import MemberRow, TargetRow
 from egretworks.metrics import Metrics
@@ -92,6 +92,7 @@
         self.in_force = InForce()
         self.local_targets_by_id: dict[TargetId, LocalTarget] = {}
         self.reports_by_id: dict[InstanceId, Reported] = {}
+        self.roles = Roles(membership, self.data_centre)
         self.joined = False
         # The other daemons named in the settings, and those that have answered this one.
         self.seeds = _other_seeds(settings)
@@ -108,6 +109,7 @@
         self.stopping = False
         self.behind = Signal()
         self.version_changed = Signal()
+        self.calls_wait = Signal()
         self._targets_by_service: dict[ServiceName, list[KnownTarget]] = {}
         self._targets_seen_at = -1
 
@@ -129,6 +131,35 @@
         return self._targets_by_service.get(service, [])
 
 
+class Roles:
+    """Remember which daemons of the own data centre have a role, until the members change."""
+
+    def __init__(self, membership: Membership, data_centre: DataCentre) -> None:
+        self._membership = membership
+        self._data_centre = data_centre
+        self._chosen_at = -1
+        self._watchers: list[InstanceId] = []
+        self._aggregator: InstanceId | None = None
+
+    def watchers(self) -> list[InstanceId]:
+        """Return the daemons that watch the platform."""
+        self._choose()
+        return self._watchers
+
+    def aggregator(self) -> InstanceId | None:
+        """Return the daemon that writes the status."""
+        self._choose()
+        return self._aggregator
+
+    def _choose(self) -> None:
+        if self._chosen_at == self._membership.changes:
+            return
+        living = self._membership.living()
+        self._watchers = watchers(living, self._data_centre)
+        self._aggregator = aggregator(living, self._data_centre)
+        self._chosen_at = self._membership.changes
+
+
 def _other_seeds(settings: Settings) -> list[Address]:
     own = (settings.instance.host, settings.instance.peer_port)
     seeds = [parse_address(text) for text in settings.peers.seeds]
--- a/egretworks/daemon.py
+++ b/egretworks/daemon.py
@@ -195,8 +195,10 @@
     def _wake_waiting(self) -> None:
         """Look again for room, which also comes when a target announces or recovers."""
         while True:
-            eventlet.sleep(seconds(WAKE_MS))
-            self.dispatcher.retry_waiting()
+            self.board.calls_wait.wait(HOUSEKEEPING_MS)
+            while self.dispatcher.waiting():
+                self.dispatcher.retry_waiting()
+                eventlet.sleep(seconds(WAKE_MS))
 
 
 def make_daemon(settings: Settings) -> Daemon:
--- a/egretworks/dispatch.py
+++ b/egretworks/dispatch.py
@@ -238,6 +238,7 @@
     def _wait(self, pool: ServicePool, waiter: Waiter) -> Entry:
         granted = eventlet.event.Event()
         self._granted_by_waiter[waiter] = granted
+        self._board.calls_wait.set()
         left_ms = waiter.expires_at - self._board.clock.now()
         try:
             with eventlet.Timeout(seconds(left_ms), False):
--- a/egretworks/membership.py
+++ b/egretworks/membership.py
@@ -61,7 +61,11 @@
     """Keep the table of members as one daemon sees it."""
 
     def __init__(self, own: MemberRow, random: RandomSource) -> None:
-        self.rows_by_id: dict[InstanceId, MemberRow] = {InstanceId(own.id): own}
+        self.rows_by_id: dict[InstanceId, MemberRow] = {}
+        self._digests = [0] * BUCKETS
+        self._living: list[MemberRow] = []
+        self._living_at = -1
+        self.changes = 0
         self.versions_by_id: dict[InstanceId, Version] = {}
         self.own_id = InstanceId(own.id)
         self.version = Version(0)
@@ -76,7 +80,7 @@
         self._order: list[InstanceId] = []
         self._seq = 0
         self._urgent: set[InstanceId] = set()
-        self.changes = 0
+        self._store(self.own_id, own)
 
     @property
     def own(self) -> MemberRow:
@@ -84,8 +88,14 @@
         return self.rows_by_id[self.own_id]
 
     def living(self) -> list[MemberRow]:
-        """Return the rows of the members that are not known to be gone, this one included."""
-        return [row for row in self.rows_by_id.values() if row.state in LIVING]
+        """Return the rows of the members that are not known to be gone, this one included.
+
+        The list is shared until the table changes and isn't to be altered.
+        """
+        if self._living_at != self.changes:
+            self._living = [row for row in self.rows_by_id.values() if row.state in LIVING]
+            self._living_at = self.changes
+        return self._living
 
     def set_targets(self, targets: tuple[TargetRow, ...]) -> list[Outgoing]:
         """Announce the targets beside this daemon and return the news to send."""
@@ -130,10 +140,7 @@
 
     def digests(self) -> tuple[int, ...]:
         """Return a digest of each bucket of rows."""
-        digests = [0] * BUCKETS
-        for row in self.rows_by_id.values():
-            digests[bucket_of(row.id)] ^= _row_digest(row)
-        return tuple(digests)
+        return tuple(self._digests)
 
     def rows_that_differ(self, digests: tuple[int, ...]) -> tuple[MemberRow, ...]:
         """Return the rows of the buckets whose digests aren't those in `digests`."""
@@ -167,7 +174,7 @@
             row = self.rows_by_id.get(candidate)
             if row is not None and row.state in LIVING:
                 return candidate
-        self._order = [InstanceId(row.id) for row in self._others()]
+        self._order = [InstanceId(row.id) for row in self.living() if row.id != self.own_id]
         self._random.shuffle(self._order)
         return self._order.pop() if self._order else None
 
@@ -182,10 +189,9 @@
         if now - probe.sent_at >= PROBE_TIMEOUT_MS and not probe.indirect:
             probe.indirect = True
             request = PingRequest(probe.seq, self.own_id, probe.target)
-            helpers = [row for row in self._others() if row.id != probe.target]
             return [
                 Outgoing(row.host, row.peer_port, request)
-                for row in self._sample(helpers, INDIRECT_PROBES)
+                for row in self._sample_others(INDIRECT_PROBES, without=probe.target)
             ]
         return []
 
@@ -262,15 +268,14 @@
         for id, departed_at in list(self._departed_at_by_id.items()):
             if now - departed_at >= DEPARTED_RETENTION_MS:
                 del self._departed_at_by_id[id]
-                self.rows_by_id.pop(id, None)
+                self._store(id, None)
                 self._spreads_by_id.pop(id, None)
                 self.versions_by_id.pop(id, None)
 
     def _put(self, row: MemberRow, now: Millis) -> None:
         id = InstanceId(row.id)
-        self.rows_by_id[id] = row
+        self._store(id, row)
         self._spreads_by_id[id] = 0
-        self.changes += 1
         if row.state is not MemberState.SUSPECT:
             self._suspected_at_by_id.pop(id, None)
         elif id not in self._suspected_at_by_id:
@@ -287,9 +292,19 @@
         return self._urgent_news()
 
     def _set_own(self, row: MemberRow) -> None:
-        self.rows_by_id[self.own_id] = row
+        self._store(self.own_id, row)
         self._spreads_by_id[self.own_id] = 0
         self._urgent.add(self.own_id)
+
+    def _store(self, id: InstanceId, row: MemberRow | None) -> None:
+        """Hold `row`, or nothing, for `id`, and keep the digests of the buckets in step."""
+        bucket = bucket_of(id)
+        held = self.rows_by_id.pop(id, None)
+        if held is not None:
+            self._digests[bucket] ^= _row_digest(held)
+        if row is not None:
+            self.rows_by_id[id] = row
+            self._digests[bucket] ^= _row_digest(row)
         self.changes += 1
 
     # Spreading.
@@ -322,18 +337,19 @@
         return tuple(chosen)
 
     def _to_some(self, message: Datagram) -> list[Outgoing]:
-        chosen = self._sample(self._others(), NEWS_FANOUT)
+        chosen = self._sample_others(NEWS_FANOUT)
         return [Outgoing(row.host, row.peer_port, message) for row in chosen]
 
     def _to(self, id: InstanceId, message: Datagram) -> Outgoing:
         row = self.rows_by_id[id]
         return Outgoing(row.host, row.peer_port, message)
 
-    def _others(self) -> list[MemberRow]:
-        return [row for row in self.living() if row.id != self.own_id]
-
-    def _sample(self, rows: list[MemberRow], count: int) -> list[MemberRow]:
-        return self._random.sample(rows, min(count, len(rows)))
+    def _sample_others(self, count: int, without: InstanceId | None = None) -> list[MemberRow]:
+        """Return up to `count` members drawn at random, neither this one nor `without`."""
+        living = self.living()
+        excluded = (self.own_id, without)
+        drawn = self._random.sample(living, min(count + len(excluded), len(living)))
+        return [row for row in drawn if row.id not in excluded][:count]
 
 
 _RANK_BY_STATE = {
--- a/egretworks/once.py
+++ b/egretworks/once.py
@@ -14,7 +14,7 @@
 from egretworks.clock import Millis
 from egretworks.types import InstanceId, OnceKey, OnceState, ServiceName, WriterMark
 
-SHARDS = 256
+SHARDS = 16_384
 DONE_RETENTION_MS = 24 * 3_600_000
 # The platform holds values up to a megabyte; above this a shard takes no new keys.
 MAX_SHARD_BYTES = 900_000
--- a/egretworks/reporting.py
+++ b/egretworks/reporting.py
@@ -8,7 +8,6 @@
 from egretworks.blackboard import Blackboard, Reported
 from egretworks.clock import seconds
 from egretworks.controllers import Links, controller
-from egretworks.delivery import aggregator
 from egretworks.exceptions import ObjectConflict, ObjectNotFound, PlatformError
 from egretworks.membership import Outgoing
 from egretworks.messages import MemberRow, Report
@@ -34,7 +33,7 @@
     """Tell the aggregator of each version that comes into force, and now and then anyway."""
     while not board.stopping:
         board.version_changed.wait(REPORT_EVERY_MS)
-        chosen = aggregator(board.membership.living(), board.data_centre)
+        chosen = board.roles.aggregator()
         row = board.membership.rows_by_id.get(chosen) if chosen else None
         if row is None:
             continue
@@ -51,7 +50,7 @@
     written: CentreStatus | None = None
     while not board.stopping:
         eventlet.sleep(seconds(WRITE_EVERY_MS * (0.75 + 0.5 * board.random.random())))
-        if aggregator(board.membership.living(), board.data_centre) != board.own_id:
+        if board.roles.aggregator() != board.own_id:
             written = None
             continue
         status = centre_status(board)
--- a/egretworks/shards.py
+++ b/egretworks/shards.py
@@ -21,6 +21,8 @@
 LATER = "later"
 MAX_TRIES = 20
 RETRY_MS = 20
+# Copies of this many shards are kept, those used last.
+KEPT_SHARDS = 64
 
 Operation = Callable[[Shard], Decision]
 Pause = Callable[[float], None]
@@ -77,16 +79,22 @@
         except ObjectNotFound:
             return _Held(Shard(), None)
         held = _Held(load(stored.value, Shard), stored.etag)
-        self._held_by_shard[shard] = held
+        self._keep(shard, held)
         return held
 
+    def _keep(self, shard: int, held: _Held) -> None:
+        self._held_by_shard.pop(shard, None)
+        self._held_by_shard[shard] = held
+        while len(self._held_by_shard) > KEPT_SHARDS:
+            del self._held_by_shard[next(iter(self._held_by_shard))]
+
     def _write(self, shard: int, following: Shard, etag: ETag | None) -> None:
         value = dump(following)
         if etag is None:
             written = self._store.create(ONCE, _name(shard), value)
         else:
             written = self._store.update(ONCE, _name(shard), value, etag)
-        self._held_by_shard[shard] = _Held(following, written)
+        self._keep(shard, _Held(following, written))
 
 
 def _apply(shard: Shard, operations: list[Operation]) -> tuple[list[Decision], Shard]:
@@ -99,4 +107,4 @@
 
 
 def _name(shard: int) -> str:
-    return f"{shard:03d}"
+    return f"{shard:05d}"
--- a/egretworks/spreading.py
+++ b/egretworks/spreading.py
@@ -25,7 +25,7 @@
 
 SYNC = "Sync"
 MEMBERS = "Members"
-TICK_MS = 100
+TICK_MS = 200
 JOIN_RETRY_MS = 500
 PULL_RETRY_MS = 200
 SEEDS_AT_A_TIME = 3
--- a/egretworks/watching.py
+++ b/egretworks/watching.py
@@ -9,7 +9,7 @@
 from egretworks.blackboard import Blackboard
 from egretworks.clock import seconds
 from egretworks.controllers import Links, controller
-from egretworks.delivery import Offer, most_answered, watchers
+from egretworks.delivery import Offer, most_answered
 from egretworks.exceptions import (
     ObjectConflict,
     PlatformError,
@@ -90,7 +90,7 @@
 
 
 def _is_watcher(board: Blackboard) -> bool:
-    return board.own_id in watchers(board.membership.living(), board.data_centre)
+    return board.own_id in board.roles.watchers()
 
 
 def _watch_once(board: Blackboard, links: Links, position: int | None) -> int:
--- a/examples/start.py
+++ b/examples/start.py
@@ -50,6 +50,7 @@
     folder: Path
     instances: list[Instance] = field(default_factory=list)
     platform: subprocess.Popen | None = None
+    daemon_program: str = "egretworks.egretd"
 
     @property
     def platform_port(self) -> int:
@@ -77,7 +78,7 @@
         """Start one daemon by the settings file that is written for it."""
         settings = self.folder / f"{instance.id}.toml"
         settings.write_text(self._settings(instance), encoding="utf-8")
-        instance.daemon = self._spawn(instance.id, "-m", "egretworks.egretd", settings)
+        instance.daemon = self._spawn(instance.id, "-m", self.daemon_program, settings)
 
     def await_status(self, instance: Instance, condition) -> dict:
         """Wait until the status of `instance` meets `condition`, and return it."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -196,6 +196,16 @@
         for member in getattr(self, "network", Network(0)).members.values():
             assert member.own.state is MemberState.ALIVE
 
+    @invariant()
+    def digests_are_those_of_the_rows(self):
+        for member in getattr(self, "network", Network(0)).members.values():
+            again = Membership(member.own, random.Random(0))
+            again.rows_by_id.clear()
+            again._digests = [0] * BUCKETS
+            for row in member.rows_by_id.values():
+                again._store(InstanceId(row.id), row)
+            assert again.digests() == member.digests()
+
 
 TestMembershipMachine = MembershipMachine.TestCase
 TestMembershipMachine.settings = settings(max_examples=25, stateful_step_count=12)
