--- a/egretworks/delivery.py
+++ b/egretworks/delivery.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from egretworks.exceptions import ChangeRefused, TicketError
+from egretworks.exceptions import ChangeRefused, PeerError, TicketError
 from egretworks.ledger import decode_state, encode_state
 from egretworks.membership import rendezvous
-from egretworks.messages import MemberRow, SyncReply
+from egretworks.messages import MemberRow, SyncReply, compress, decompress
 from egretworks.state import Change, MeshState, apply_change
 from egretworks.tickets import check_body, check_policies
 from egretworks.types import DataCentre, InstanceId, RandomSource, TicketNumber, Version
@@ -67,7 +67,7 @@
             return self.refuse(Version(change.version), TicketNumber(change.ticket), error.message)
         self.state = state
         self.refusal = None
-        self._kept.append((change.version, msgspec.msgpack.encode(change)))
+        self._kept.append((change.version, compress(change)))
         return Offer.APPLIED
 
     def offer_state(self, state: MeshState) -> Offer:
@@ -106,8 +106,8 @@
             if reply.state:
                 outcome = self.offer_state(decode_state(reply.state))
             for data in reply.changes:
-                outcome = self.offer(msgspec.msgpack.decode(data, type=Change))
-        except (ChangeRefused, msgspec.MsgspecError) as error:
+                outcome = self.offer(decompress(data, Change))
+        except (ChangeRefused, PeerError) as error:
             return self.refuse(Version(reply.version), TicketNumber(0), str(error))
         return outcome
 
--- a/egretworks/ledger.py
+++ b/egretworks/ledger.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import zlib
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -17,11 +16,13 @@
     ChangeRefused,
     ObjectConflict,
     ObjectNotFound,
+    PeerError,
     PlatformUnavailable,
     TicketConflict,
     TicketInvalid,
     TicketNotFound,
 )
+from egretworks.messages import compress, decompress
 from egretworks.objects import LIST_LIMIT, ObjectStore, StoredObject, dump, load
 from egretworks.resources import TicketBody
 from egretworks.state import (
@@ -339,14 +340,14 @@
 
 def encode_state(state: MeshState) -> bytes:
     """Encode `state` compressed, for a snapshot or a peer."""
-    return zlib.compress(msgspec.msgpack.encode(state), 6)
+    return compress(state)
 
 
 def decode_state(data: bytes) -> MeshState:
     """Decode a state and check that it is whole, or raise `ChangeRefused`."""
     try:
-        state = msgspec.msgpack.decode(zlib.decompress(data), type=MeshState)
-    except (msgspec.MsgspecError, zlib.error) as error:
+        state = decompress(data, MeshState)
+    except PeerError as error:
         raise ChangeRefused(f"a snapshot can't be read: {error}") from error
     check_whole(state)
     return state
--- a/egretworks/messages.py
+++ b/egretworks/messages.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
+from typing import Any, TypeVar
+
 import msgspec
 
 from egretworks.exceptions import PeerError
@@ -9,6 +12,9 @@
 
 # A datagram up to this size crosses usual networks without being fragmented.
 MAX_DATAGRAM_BYTES = 1_200
+COMPRESSION_LEVEL = 6
+
+Kind = TypeVar("Kind")
 
 
 class TargetRow(msgspec.Struct, frozen=True, array_like=True):
@@ -112,10 +118,10 @@
 
 
 class MembersReply(msgspec.Struct, frozen=True):
-    """Carry rows, and the highest version that the answering daemon has heard of."""
+    """Carry compressed rows, and the highest version that the answering daemon has heard of."""
 
     version: int
-    rows: tuple[MemberRow, ...] = ()
+    packed: bytes = b""
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -127,6 +133,19 @@
     return _encoder.encode(message)
 
 
+def compress(document: Any) -> bytes:
+    """Encode `document` compressed, for what is large or goes to many."""
+    return zlib.compress(_encoder.encode(document), COMPRESSION_LEVEL)
+
+
+def decompress(data: bytes, kind: type[Kind]) -> Kind:
+    """Decode what `compress` returned as a `kind`, or raise `PeerError`."""
+    try:
+        return msgspec.msgpack.decode(zlib.decompress(data), type=kind)
+    except (msgspec.MsgspecError, zlib.error) as error:
+        raise PeerError(f"compressed data can't be read: {error}") from error
+
+
 def decode_datagram(data: bytes) -> Datagram:
     """Decode a datagram, or raise `PeerError`."""
     try:
--- a/egretworks/spreading.py
+++ b/egretworks/spreading.py
@@ -19,6 +19,8 @@
     Report,
     SyncReply,
     SyncRequest,
+    compress,
+    decompress,
 )
 from egretworks.reporting import take_report
 from egretworks.types import InstanceId, Version
@@ -62,7 +64,7 @@
     membership = board.membership
     rows = membership.rows_that_differ(request.digests)
     membership.merge((request.sender,), board.clock.now())
-    return MembersReply(membership.highest_version, rows)
+    return MembersReply(membership.highest_version, compress(rows))
 
 
 def came_into_force(board: Blackboard, links: Links) -> None:
@@ -146,9 +148,10 @@
     request = MembersRequest(membership.own, membership.digests())
     try:
         reply = links.peers.request(address, MEMBERS, request, MembersReply)
+        rows = decompress(reply.packed, tuple[MemberRow, ...])
     except PeerError:
         return False
-    membership.merge(reply.rows, board.clock.now())
+    membership.merge(rows, board.clock.now())
     membership.highest_version = max(membership.highest_version, Version(reply.version))
     if membership.highest_version > board.in_force.version:
         board.behind.set()
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -13,7 +13,7 @@
 from egretworks.delivery import InForce, aggregator, watchers
 from egretworks.ledger import encode_state
 from egretworks.membership import Membership, Outgoing
-from egretworks.messages import MemberRow, MembersReply, News, Ping, TargetRow, encode
+from egretworks.messages import MemberRow, MembersReply, News, Ping, TargetRow, compress, encode
 from egretworks.once import Answer as OnceAnswer
 from egretworks.once import Claim, Shard, claim, settle_done
 from egretworks.resources import Match, Route, Service, TicketBody
@@ -132,7 +132,7 @@
         table.handle(News(sender, 7, (changed,)), Millis(now[0]))
 
     name = f"members.{count}"
-    reply = MembersReply(7, tuple(table.rows_by_id.values()))
+    reply = MembersReply(7, compress(tuple(table.rows_by_id.values())))
     return [
         summarize(f"{name}.second_of_ticks", "us", processor_us(second, 20)),
         summarize(
@@ -183,7 +183,7 @@
         summarize(f"state.{SERVICES}.memory", "KB", [memory]),
         summarize(f"state.{SERVICES}.apply_a_change", "us", processor_us(apply, 20)),
         summarize(f"state.{SERVICES}.snapshot", "bytes", [len(encode_state(state))]),
-        summarize("change.on_the_wire", "bytes", [len(encode(following))]),
+        summarize("change.on_the_wire", "bytes", [len(compress(following))]),
         summarize(
             "change.encode_for_a_peer",
             "us",
