--- a/egretworks/callport.py
+++ b/egretworks/callport.py
@@ -101,11 +101,6 @@
             sock.settimeout(None)
             self._take(sock)
 
-    @property
-    def open_connections(self) -> int:
-        """Return how many callers are connected."""
-        return len(self._connections)
-
     def _take(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if len(self._connections) >= self._settings.max_connections:
--- a/egretworks/daemon.py
+++ b/egretworks/daemon.py
@@ -12,7 +12,7 @@
 from egretworks.callport import CallPort
 from egretworks.clock import SystemClock, seconds
 from egretworks.config import Settings
-from egretworks.controllers import Links, controller, start_all
+from egretworks.controllers import Links, start_all
 from egretworks.dispatch import Dispatcher
 from egretworks.exceptions import SettingsError
 from egretworks.gossip import GossipSocket
@@ -42,6 +42,7 @@
 # The others learn within this time that a daemon is leaving, before it stops accepting calls.
 LEAVE_SPREAD_MS = 200
 
+# Their controllers register themselves when they are imported.
 CONTROLLER_MODULES = (announcing, reporting, spreading, watching)
 
 log = logging.getLogger(__name__)
@@ -204,6 +205,3 @@
 def make_daemon(settings: Settings) -> Daemon:
     """Return a daemon whose ports are open, or raise `SettingsError`."""
     return Daemon(settings)
-
-
-__all__ = ["CONTROLLER_MODULES", "Daemon", "controller", "make_daemon"]
--- a/egretworks/egretd.py
+++ b/egretworks/egretd.py
@@ -16,39 +16,45 @@
 
 eventlet.monkey_patch()
 
+import argparse  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
 
-import defopt  # noqa: E402
-
 from egretworks import logs  # noqa: E402
 from egretworks.config import read_settings  # noqa: E402
 from egretworks.daemon import make_daemon  # noqa: E402
 from egretworks.exceptions import EgretError  # noqa: E402
 
 
-def serve(settings: Path, *, check_settings: bool = False) -> None:
-    """Run a daemon beside a target.
-
-    :param settings: TOML file with the daemon's settings
-    :param check_settings: only check the file, and say what is wrong with it
-    """
-    checked = read_settings(settings)
-    if check_settings:
-        print(f"{settings}: ok")
+def serve(path: Path, *, check_only: bool) -> None:
+    """Run a daemon by the settings in `path`, or only check them."""
+    settings = read_settings(path)
+    if check_only:
+        print(f"{path}: ok")
         return
-    logs.set_up(checked.instance.id, checked.log.level)
-    daemon = make_daemon(checked)
+    logs.set_up(settings.instance.id, settings.log.level)
+    daemon = make_daemon(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: eventlet.spawn_n(daemon.stop))
     daemon.run()
 
 
+def _parse_arguments() -> argparse.Namespace:
+    """Read the command line, without defopt: that stays in the daemon's memory for good."""
+    parser = argparse.ArgumentParser(prog="egretd", description="Run a daemon beside a target.")
+    parser.add_argument("settings", type=Path, help="TOML file with the daemon's settings")
+    parser.add_argument(
+        "--check-settings", action="store_true", help="only check the file, and say what is wrong"
+    )
+    return parser.parse_args()
+
+
 def main() -> None:
     """Run the command line of `egretd` and exit with a documented status."""
     try:
-        defopt.run(serve)
+        arguments = _parse_arguments()
+        serve(arguments.settings, check_only=arguments.check_settings)
     except EgretError as error:
         print(f"egretd: {error.code}: {error.message}", file=sys.stderr)
         if error.next_step:
--- a/egretworks/ledger.py
+++ b/egretworks/ledger.py
@@ -139,10 +139,6 @@
         page = self._store.list(TICKETS, after=name, limit=limit)
         return [load(item.value, Ticket) for item in page.items]
 
-    def last_number(self) -> TicketNumber:
-        """Return the highest ticket number filed so far."""
-        return TicketNumber(self._last_number())
-
     def state(self) -> MeshState:
         """Return the newest state in force, from the last snapshot and the changes after it."""
         state = self.snapshot()
--- a/egretworks/messages.py
+++ b/egretworks/messages.py
@@ -29,6 +29,11 @@
     state: TargetState = TargetState.READY
 
 
+def target_label(row: TargetRow) -> str:
+    """Return what operators see of a target: its id, service and state."""
+    return f"{row.id}:{row.service}:{row.state.value}"
+
+
 class MemberRow(msgspec.Struct, frozen=True, array_like=True):
     """Describe a daemon and the targets beside it.
 
--- a/egretworks/once.py
+++ b/egretworks/once.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -49,6 +50,9 @@
     records_by_key: dict[str, Record] = {}
 
 
+Settlement = Callable[[Shard], Shard]
+
+
 class Verdict(Enum):
     """Say what may be done with a call."""
 
@@ -158,6 +162,15 @@
     return Shard(records)
 
 
+def fenced(shard: Shard, settlement: Settlement) -> Shard:
+    """Return a new shard even where `settlement` changes nothing.
+
+    Writing it ends the version that a claim still on its way to the platform depends on.
+    """
+    following = settlement(shard)
+    return Shard(dict(shard.records_by_key)) if following is shard else following
+
+
 def prune(shard: Shard, now: Millis) -> Shard:
     """Drop answers that have been kept long enough; what isn't settled stays."""
     kept = {
--- a/egretworks/oncecalls.py
+++ b/egretworks/oncecalls.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import eventlet
 import msgspec
@@ -34,9 +33,11 @@
     Claim,
     Decision,
     Record,
+    Settlement,
     Shard,
     Verdict,
     claim,
+    fenced,
     fingerprint_of,
     full_key,
     settle_done,
@@ -46,9 +47,6 @@
 from egretworks.shards import Operation
 from egretworks.types import InstanceId, OnceKey, OnceState, ServiceName, WriterMark
 
-if TYPE_CHECKING:
-    from egretworks.later import LaterCalls
-
 KEY_HEADER = b"Idempotency-Key"
 ONCE_HEADER = b"Egret-Once"
 ANSWERS = "answers"
@@ -59,10 +57,16 @@
 SETTLE_RETRY_MS = 500
 SETTLE_TRY_MS = 5_000
 
-Settlement = Callable[[Shard], Shard]
 LATER_HEADER = b"Egret-Later"
 
 
+class LaterService(Protocol):
+    """Keep calls that their callers don't wait for."""
+
+    def accept(self, asked: Claim, call: Call) -> Response:
+        """Keep `call` and return once it can't be lost any more."""
+
+
 class OnceCalls:
     """Carry the once-only calls of one daemon."""
 
@@ -70,7 +74,7 @@
         self._board = board
         self._store = store
         self._keeper = keeper
-        self.later: LaterCalls | None = None
+        self.later: LaterService | None = None
         self.unsettled = 0
 
     def serve(self, call: Call, attempts: Attempts) -> Response:
@@ -152,7 +156,7 @@
             return self._keeper.apply(asked.key, operation, deadline)
         except OnceUnrecorded:
             undo = taken_back or (lambda shard: settle_not_run(shard, asked.key, asked.mark))
-            self.settle_later(asked.key, lambda shard: _fenced(shard, undo))
+            self.settle_later(asked.key, lambda shard: fenced(shard, undo))
             raise
 
     def give_up_if_orphaned(self, key: OnceKey, record: Record) -> bool:
@@ -237,15 +241,6 @@
         self._board.timeline.record(kind, call=call.context.id, key=key, detail=detail)
 
 
-def _fenced(shard: Shard, settlement: Settlement) -> Shard:
-    """Return a new shard even where nothing changes.
-
-    Writing it ends the version that a claim still on its way to the platform depends on.
-    """
-    following = settlement(shard)
-    return Shard(dict(shard.records_by_key)) if following is shard else following
-
-
 def queued_answer() -> Response:
     """Return the answer to a call that is kept for later."""
     return _marked(Response(202, [(b"Content-Type", b"application/json")], b"{}"), "queued")
--- a/egretworks/operatorport.py
+++ b/egretworks/operatorport.py
@@ -18,6 +18,7 @@
 from egretworks.controllers import Links
 from egretworks.dispatch import Dispatcher
 from egretworks.exceptions import BadRequest, EgretError
+from egretworks.messages import target_label
 from egretworks.metrics import Metrics
 from egretworks.operatorpages import DaemonStatus, FleetMember, FleetPage, MemberStatus
 from egretworks.reporting import centre_status
@@ -173,10 +174,7 @@
             members=len(board.membership.living()),
             calls_in_hand=port.dispatcher.in_hand,
             calls_waiting=port.dispatcher.waiting(),
-            targets=tuple(
-                f"{t.row.id}:{t.row.service}:{t.row.state.value}"
-                for t in board.local_targets_by_id.values()
-            ),
+            targets=tuple(target_label(t.row) for t in board.local_targets_by_id.values()),
             refused_version=refusal.version if refusal else 0,
             refused_reason=refusal.reason if refusal else "",
         )
@@ -198,7 +196,7 @@
             operator_port=row.operator_port,
             state=row.state.value,
             version=version,
-            targets=tuple(f"{t.id}:{t.service}:{t.state.value}" for t in row.targets),
+            targets=tuple(target_label(target) for target in row.targets),
         )
         members.append(FleetMember(row.data_centre, status))
     return _json(FleetPage(board.own_id, tuple(members)))
--- a/egretworks/reporting.py
+++ b/egretworks/reporting.py
@@ -10,7 +10,7 @@
 from egretworks.controllers import Links, controller
 from egretworks.exceptions import ObjectConflict, ObjectNotFound, PlatformError
 from egretworks.membership import Outgoing
-from egretworks.messages import MemberRow, Report
+from egretworks.messages import MemberRow, Report, target_label
 from egretworks.objects import ObjectStore, dump
 from egretworks.operatorpages import STATUS, CentreStatus, MemberStatus
 from egretworks.types import ETag, InstanceId, Version
@@ -91,7 +91,7 @@
         operator_port=row.operator_port,
         state=row.state.value,
         version=version,
-        targets=tuple(f"{t.id}:{t.service}:{t.state.value}" for t in row.targets),
+        targets=tuple(target_label(target) for target in row.targets),
         refused_version=refused.refused_version,
         refused_reason=refused.refused_reason,
     )
--- a/egretworks/resources.py
+++ b/egretworks/resources.py
@@ -8,7 +8,7 @@
 import xxhash
 from msgspec import Meta
 
-from egretworks.types import Repeat, RouteName, ServiceName, WorkClass
+from egretworks.types import Repeat, WorkClass
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Percent = Annotated[int, Meta(ge=0, le=100)]
@@ -86,13 +86,3 @@
     """Return a 128-bit digest of `resource` and its kind."""
     kind = type(resource).__name__.encode()
     return xxhash.xxh3_128_intdigest(kind + b"\0" + _encoder.encode(resource))
-
-
-def service_name(service: Service) -> ServiceName:
-    """Return the typed name of `service`."""
-    return ServiceName(service.name)
-
-
-def route_name(route: Route) -> RouteName:
-    """Return the typed name of `route`."""
-    return RouteName(route.name)
--- a/egretworks/retry.py
+++ b/egretworks/retry.py
@@ -20,11 +20,6 @@
     def __init__(self) -> None:
         self._tokens = BUDGET_RESERVE
 
-    @property
-    def tokens(self) -> float:
-        """Return how many retries may be made now."""
-        return self._tokens
-
     def earn(self, percent: int) -> None:
         """Count a first attempt."""
         self._tokens = min(BUDGET_CEILING, self._tokens + percent / 100)
--- a/egretworks/state.py
+++ b/egretworks/state.py
@@ -8,7 +8,7 @@
 
 from egretworks.exceptions import ChangeRefused
 from egretworks.resources import Route, Service, TicketBody, resource_digest
-from egretworks.types import NO_VERSION, RouteName, ServiceName, TicketNumber, Version, WriterMark
+from egretworks.types import NO_VERSION, TicketNumber, Version, WriterMark
 
 
 class Change(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -136,13 +136,3 @@
                 f"route {route.name!r} names service {route.service!r}, which isn't in force",
                 next_step="put the service in the same ticket, or remove the route first",
             )
-
-
-def find_service(state: MeshState, name: ServiceName) -> Service | None:
-    """Return the service called `name`, or None."""
-    return state.services_by_name.get(name)
-
-
-def find_route(state: MeshState, name: RouteName) -> Route | None:
-    """Return the route called `name`, or None."""
-    return state.routes_by_name.get(name)
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -39,8 +39,8 @@
     def put_in_force(self, ticket: str) -> int:
         """File and accept a ticket, and measure until the last daemon has it."""
         path = EXAMPLES / "zagreb" / "tickets" / ticket
-        number = self.ctl("file", str(path), "--json")["number"]
-        accepted = self.ctl("accept", str(number), "--json")
+        number = self.deployment.ctl("file", str(path))["number"]
+        accepted = self.deployment.ctl("accept", str(number))
         version = accepted["version"]
         for instance in self.deployment.instances:
             self.deployment.await_status(instance, lambda s: s["version"] >= version and s["ready"])
@@ -140,21 +140,10 @@
 
     def show(self, number: int) -> None:
         """Check that egretctl tells where the ticket stands."""
-        standing = self.ctl("show", str(number), "--json")
+        standing = self.deployment.ctl("show", str(number))
         seen = f"in force at {standing['in_force']} of {standing['daemons']} daemons"
         self.check("egretctl show", seen, standing["in_force"] == len(self.deployment.instances))
 
-    def ctl(self, *arguments: str) -> dict:
-        """Run egretctl and return its answer."""
-        settings = ("--settings", str(self.deployment.client_settings))
-        done = subprocess.run(
-            [sys.executable, "-m", "egretworks.cmdline", *arguments, *settings],
-            stdout=subprocess.PIPE,
-            text=True,
-            check=True,
-        )
-        return json.loads(done.stdout)
-
     def report(self) -> bool:
         """Print the table and return whether every check held."""
         width = max(len(what) for what, _, _ in self.rows)
--- a/examples/start.py
+++ b/examples/start.py
@@ -90,6 +90,17 @@
             time.sleep(0.05)
         raise SystemExit(f"{instance.id} did not come up; see {self.folder}/{instance.id}.log")
 
+    def ctl(self, *arguments: str) -> dict:
+        """Run egretctl against this deployment and return its answer."""
+        settings = ("--settings", str(self.client_settings), "--json")
+        done = subprocess.run(
+            [sys.executable, "-m", "egretworks.cmdline", *arguments, *settings],
+            stdout=subprocess.PIPE,
+            text=True,
+            check=True,
+        )
+        return json.loads(done.stdout)
+
     def stop(self) -> None:
         """Stop every process, the daemons gracefully."""
         running = [p for i in self.instances for p in (i.target, i.daemon) if p]
--- a/measure/meshes.py
+++ b/measure/meshes.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+import urllib.request
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -44,25 +45,13 @@
     """File and accept a ticket, wait until every daemon has it, and return its version."""
     path = deployment.folder / "ticket.toml"
     path.write_text(text, encoding="utf-8")
-    number = ctl(deployment, "file", str(path))["number"]
-    version = ctl(deployment, "accept", str(number))["version"]
+    number = deployment.ctl("file", str(path))["number"]
+    version = deployment.ctl("accept", str(number))["version"]
     for instance in deployment.instances:
         deployment.await_status(instance, lambda s: s["version"] >= version and s["ready"])
     return version
 
 
-def ctl(deployment: Deployment, *arguments: str) -> dict:
-    """Run egretctl and return its answer."""
-    settings = ("--settings", str(deployment.client_settings), "--json")
-    done = subprocess.run(
-        [sys.executable, "-m", "egretworks.cmdline", *arguments, *settings],
-        stdout=subprocess.PIPE,
-        text=True,
-        check=True,
-    )
-    return json.loads(done.stdout)
-
-
 def convergence_ms(deployment: Deployment, version: int) -> float:
     """Return the time from the acceptance of `version` to the last daemon that has it."""
     place = f"http://127.0.0.1:{deployment.platform_port}/v1/objects/changes/{version:012d}"
@@ -90,8 +79,6 @@
 
 def metric(instance: Instance, name: str) -> float:
     """Return one metric of a daemon."""
-    import urllib.request
-
     with urllib.request.urlopen(f"http://{instance.operator_address}/metrics", timeout=5) as page:
         for line in page.read().decode().splitlines():
             if line.split(" ")[0] == name:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,6 +6,7 @@
 
 from egretworks.config import read_settings
 from egretworks.exceptions import SettingsError
+from egretworks.settingspage import render
 
 GOOD = """
 [instance]
@@ -92,3 +93,9 @@
     assert daemon.status()["platform_reached"] is False
     assert ask(daemon.operator_port, "GET", "/readyz")[0] == 503
     assert ask(daemon.operator_port, "GET", "/healthz")[0] == 200
+
+
+def test_the_settings_page_is_the_one_made_from_the_definitions():
+    page = (ROOT / "docs" / "SETTINGS.md").read_text()
+    assert page == render()
+    assert "| `max_depth` | `11` | Most hops" in page
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -1,5 +1,17 @@
-from egretworks.objects import ObjectStore
-from egretworks.once import Claim, Verdict, claim, shard_of
+import pytest
+
+from egretworks.exceptions import ObjectConflict
+from egretworks.objects import ObjectStore, dump
+from egretworks.once import (
+    Claim,
+    Decision,
+    Shard,
+    Verdict,
+    claim,
+    fenced,
+    settle_not_run,
+    shard_of,
+)
 from egretworks.shards import KEPT_SHARDS, ShardStore
 from egretworks.types import InstanceId, OnceKey, WriterMark
 
@@ -13,3 +25,23 @@
         assert decided[0].verdict is Verdict.RUN
     assert len(shards._held_by_shard) <= KEPT_SHARDS
     assert all(shards.record(key) is not None for key in keys)
+
+
+def test_a_claim_still_on_its_way_cannot_land_after_it_was_taken_back(mesh):
+    store = ObjectStore(f"127.0.0.1:{mesh.platform.port}")
+    shards = ShardStore(store, lambda pause_ms: None)
+    key = OnceKey("payout-desk/k1")
+    place = f"{shard_of(key):05d}"
+    asked = Claim(key, "f", InstanceId("d0"), 1, WriterMark("m1"), 0.0)
+    etag = store.create("once", place, dump(Shard()))
+    on_its_way = dump(claim(Shard(), asked).shard)
+
+    def take_back(shard):
+        return Decision(
+            Verdict.DONE, shard=fenced(shard, lambda s: settle_not_run(s, key, asked.mark))
+        )
+
+    shards.update(shard_of(key), [take_back])
+    with pytest.raises(ObjectConflict):
+        store.update("once", place, on_its_way, etag)
+    assert shards.record(key) is None
