--- a/egretworks/admission.py
+++ b/egretworks/admission.py
@@ -52,13 +52,17 @@
             WorkClass.LONG: deque(),
         }
 
-    def offer(self, offered: Iterable[Offered]) -> None:
-        """Take over which targets there are; ones that are leaving get no new calls."""
+    def offer(self, offered: Iterable[Offered], callers: int) -> None:
+        """Take over which targets there are; ones that are leaving get no new calls.
+
+        The `callers` daemons of the mesh share a target's connections evenly.
+        """
         self._offered = [o for o in offered if o.row.state is TargetState.READY]
         kept = {TargetId(o.row.id) for o in self._offered}
         for o in self._offered:
-            load = self._loads_by_id.setdefault(TargetId(o.row.id), TargetLoad(o.row.slots))
-            load.slots = o.row.slots
+            slots = min(o.row.slots, max(1, o.row.connections // callers))
+            load = self._loads_by_id.setdefault(TargetId(o.row.id), TargetLoad(slots))
+            load.slots = slots
         for id in [id for id, load in self._loads_by_id.items() if id not in kept]:
             if not self._loads_by_id[id].outstanding:
                 del self._loads_by_id[id]
--- a/egretworks/dispatch.py
+++ b/egretworks/dispatch.py
@@ -15,6 +15,7 @@
 from egretworks.exceptions import (
     AttemptTimeout,
     BadRequest,
+    CallerGone,
     CallError,
     ConnectFailed,
     DeadlineExceeded,
@@ -243,6 +244,10 @@
         try:
             with eventlet.Timeout(seconds(left_ms), False):
                 granted.wait()
+        except CallerGone:
+            if waiter.entry is not None:
+                pool.leave(waiter.entry)
+            raise
         finally:
             del self._granted_by_waiter[waiter]
             if waiter.entry is None:
@@ -267,7 +272,8 @@
         known = self._board.targets_of(service)
         if self._offered_by_service.get(service) is not known:
             self._offered_by_service[service] = known
-            pool.offer([self._offered(target) for target in known])
+            callers = len(self._board.membership.living())
+            pool.offer([self._offered(target) for target in known], callers)
         return pool
 
     def _offered(self, target: KnownTarget) -> Offered:
--- a/egretworks/later.py
+++ b/egretworks/later.py
@@ -87,7 +87,10 @@
             kept = self._store.list(LATER)
         except PlatformError:
             return
-        for item in kept.items:
+        # Those that can't be settled would otherwise stand before all others at each look.
+        items = list(kept.items)
+        self._board.random.shuffle(items)
+        for item in items:
             if len(self._in_hand) >= MAX_AT_A_TIME:
                 return
             if item.name not in self._in_hand:
--- a/egretworks/loads.py
+++ b/egretworks/loads.py
@@ -34,11 +34,12 @@
 
     def has_room(self, work: WorkClass, long_percent: int, now: Millis) -> bool:
         """Return whether a call of class `work` may be sent now."""
-        if now < self._ejected_until or self.outstanding >= math.floor(self.limit):
+        limit = math.floor(min(self.limit, self.slots))
+        if now < self._ejected_until or self.outstanding >= limit:
             return False
         if work is WorkClass.SHORT:
             return True
-        return self.long_outstanding < max(1, math.floor(self.limit * long_percent / 100))
+        return self.long_outstanding < max(1, math.floor(limit * long_percent / 100))
 
     def enter(self, work: WorkClass) -> None:
         """Count a call that is being sent."""
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -45,3 +45,18 @@
     assert status == 404
     assert headers["Egret-Not-Run"] == "true"
     assert json.loads(body)["error"] == "call.no_route"
+
+
+def test_a_call_goes_eleven_hops_deep_and_no_deeper_within_one_deadline(mesh):
+    daemons = mesh.start_daemons(4)
+    for daemon in daemons:
+        onward = f"127.0.0.1:{daemon.call_port}/ledger/on"
+        mesh.start_target(f"t-{daemon.id}", "ledger", daemon, calls=onward, work_ms=1)
+    mesh.put_in_force(LEDGER_TICKET.replace("match =", "timeout_ms = 20000\nmatch ="))
+    mesh.await_targets(4)
+    headers = {"Egret-Call-Id": "deep", "Egret-Deadline-Ms": "15000"}
+    status, answer, _ = daemons[0].call("/ledger/x", headers=headers, timeout=30)
+    # The eleventh target's own call is refused, and each target on the way says that its failed.
+    assert status == 502
+    assert "Egret-Error" not in answer
+    assert sum(target.runs().get("deep", 0) for target in mesh.targets) == 11
