--- /dev/null
+++ b/egretworks/attemptbudget.py
@@ -0,0 +1,56 @@
+"""Keep the attempts beyond the first within this daemon's part of the mesh's budget."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+from egretworks.clock import Millis
+
+BUCKET_MS = 500
+# Left for the calls that repeated runs make, and for what members that are gone have spent.
+SPENT_PART = 0.5
+
+
+class _Bucket(msgspec.Struct):
+    begins: Millis
+    requests: int = 0
+    extras: int = 0
+
+
+class AttemptBudget:
+    """Count the requests for one service and the further attempts made for them.
+
+    The budget of the whole mesh is `ratio` times its requests within `window_ms`, and `slack`
+    besides. A daemon keeps to that ratio of its own requests and to its part of the slack, so that
+    the sum holds without any daemon asking another.
+    """
+
+    def __init__(self, ratio: float, window_ms: float, slack: float) -> None:
+        self._ratio = ratio
+        self._window_ms = window_ms
+        self._slack = slack
+        self._buckets: deque[_Bucket] = deque()
+
+    def count_request(self, now: Millis) -> None:
+        """Count a request of a caller."""
+        self._bucket(now).requests += 1
+
+    def spend(self, daemons: int, now: Millis) -> bool:
+        """Count a further attempt if one of `daemons` may make it; else return False."""
+        bucket = self._bucket(now)
+        requests = sum(bucket.requests for bucket in self._buckets)
+        extras = sum(bucket.extras for bucket in self._buckets)
+        allowed = (self._ratio * requests + self._slack / max(1, daemons)) * SPENT_PART
+        if extras + 1 > allowed:
+            return False
+        bucket.extras += 1
+        return True
+
+    def _bucket(self, now: Millis) -> _Bucket:
+        while self._buckets and self._buckets[0].begins <= now - self._window_ms - BUCKET_MS:
+            self._buckets.popleft()
+        if not self._buckets or now >= self._buckets[-1].begins + BUCKET_MS:
+            self._buckets.append(_Bucket(now))
+        return self._buckets[-1]
--- a/egretworks/config.py
+++ b/egretworks/config.py
@@ -133,7 +133,59 @@
     ] = ""
 
 
-AnySettings = TypeVar("AnySettings", Settings, ClientSettings)
+class SidecarSection(Section):
+    """Name the instance beside whose target the daemon runs."""
+
+    id: Annotated[Name, Meta(description="Name of this instance, unique in the mesh.")]
+    data_centre: Annotated[Name, Meta(description="Data centre that the instance stands in.")]
+    host: Annotated[str, Meta(description="IP number that the others reach this instance by.")]
+    service: Annotated[str, Meta(description="Service of the target beside the daemon.")] = ""
+
+
+class ListenSettings(Section):
+    """Say where the daemon listens."""
+
+    calls: Annotated[Address, Meta(description="IP number and port for callers.")]
+    ready: Annotated[Address, Meta(description="IP number and port for readiness checks.")]
+    announcements: Annotated[
+        Address, Meta(description="IP number and port for the target's heartbeats.")
+    ]
+    link_port: Annotated[Port, Meta(description="TCP port for the other daemons.")]
+    metrics_port: Annotated[Port, Meta(description="TCP port for metrics.")]
+
+
+class BoundSettings(Section):
+    """Set the bounds that the deployment's contract asks for."""
+
+    drain_ms: Annotated[
+        PositiveMs,
+        Meta(description="Longest time that an acknowledged leaving target gets requests, in ms."),
+    ]
+    grace_ms: Annotated[
+        PositiveMs, Meta(description="Time from SIGTERM until the platform kills, in ms.")
+    ]
+    retry_ratio: Annotated[
+        float, Meta(ge=0, description="Further attempts of the whole mesh per request.")
+    ]
+    retry_window_ms: Annotated[
+        PositiveMs, Meta(description="Time over which further attempts are counted, in ms.")
+    ]
+    retry_slack: Annotated[
+        float, Meta(ge=0, description="Further attempts of the whole mesh besides the ratio.")
+    ]
+
+
+class SidecarSettings(Section):
+    """Hold every setting of a daemon that stands beside a target on the users' platform."""
+
+    instance: SidecarSection
+    listen: ListenSettings
+    platform: PlatformSettings
+    bounds: BoundSettings
+    log: LogSettings = LogSettings()
+
+
+AnySettings = TypeVar("AnySettings", Settings, ClientSettings, SidecarSettings)
 
 
 def read_settings(path: Path) -> Settings:
@@ -146,6 +198,11 @@
     return settings
 
 
+def read_sidecar_settings(path: Path) -> SidecarSettings:
+    """Return the sidecar's settings in the TOML file `path`, or raise `SettingsError`."""
+    return _read(path, SidecarSettings)
+
+
 def read_client_settings(path: Path) -> ClientSettings:
     """Return the client's settings in the TOML file `path`, or raise `SettingsError`."""
     return _read(path, ClientSettings)
--- a/egretworks/exceptions.py
+++ b/egretworks/exceptions.py
@@ -55,6 +55,12 @@
     code = "change.refused"
 
 
+class ConfigInvalid(EgretError):
+    """Report a configuration of the mesh that contradicts itself or can't be read."""
+
+    code = "config.invalid"
+
+
 class PlatformError(EgretError):
     """Report a failure of the platform's object API."""
 
--- /dev/null
+++ b/egretworks/forwarding.py
@@ -0,0 +1,316 @@
+"""Carry callers' requests: find the route, choose a target, offer, offer again, answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from egretworks.attemptbudget import AttemptBudget
+from egretworks.clock import Clock, Millis
+from egretworks.configholder import ConfigHolder
+from egretworks.edge import CallHead, Edge
+from egretworks.exceptions import (
+    AttemptTimeout,
+    CallError,
+    NoRoute,
+    NotReady,
+    OutcomeUnknown,
+    Overloaded,
+)
+from egretworks.gate import CancelCall, Reply
+from egretworks.httpport import HttpExchange
+from egretworks.httpwire import Headers, Response, error_response
+from egretworks.linkframes import (
+    Answered,
+    LossReason,
+    Lost,
+    Offer,
+    Outcome,
+    Refused,
+)
+from egretworks.meshroutes import MeshRoute, Splitter
+from egretworks.metrics import Metrics
+from egretworks.picking import Prospect, pick
+from egretworks.streams import after
+from egretworks.timeline import Timeline
+from egretworks.types import RandomSource, Repeat, ServiceName
+
+# A request that names no deadline gets this one.
+DEFAULT_LEFT_MS = 15_000.0
+# The target's daemon answers at the deadline; this is for one that doesn't.
+DEADLINE_GRACE_MS = 120
+# How often a request that no target has got may be offered again.
+MOST_OFFERS = 4
+# Another attempt with less time than this left can't be useful.
+LEAST_USEFUL_MS = 20.0
+LEAST_RETRY_AFTER_MS = 30.0
+# Callers honour a pause of up to a third of the time they have left.
+MOST_RETRY_AFTER_SHARE = 0.33
+UNREADY_RETRY_AFTER_MS = 250.0
+
+
+class Place(Protocol):
+    """Offer requests to one target."""
+
+    def offer(self, offer: Offer, reply: Reply) -> CancelCall:
+        """Offer a request; `reply` gets the outcome."""
+
+    def prospect(self, now: Millis) -> Prospect:
+        """Return how the target stands."""
+
+
+class ForwardHost(msgspec.Struct, frozen=True):
+    """Hold what forwarding needs of the daemon around it."""
+
+    clock: Clock
+    random: RandomSource
+    edge: Edge
+    metrics: Metrics
+    timeline: Timeline
+    config: ConfigHolder
+    # Returns the places that take requests for a service.
+    places: Callable[[ServiceName], list[Place]]
+    # Returns how many daemons share the budget of further attempts.
+    daemons: Callable[[], int]
+    # Returns the service of the target beside this daemon, which all its callers stand for.
+    own_service: Callable[[], ServiceName]
+    new_budget: Callable[[], AttemptBudget]
+
+
+class Forwarder:
+    """Carry the requests of this daemon's callers."""
+
+    def __init__(self, host: ForwardHost) -> None:
+        self.host = host
+        self.splitter = Splitter(host.random.random())
+        self._budget_by_service: dict[ServiceName, AttemptBudget] = {}
+        self.in_hand = 0
+
+    def serve(self, exchange: HttpExchange) -> None:
+        """Carry one request to its answer."""
+        try:
+            call = self._begin(exchange)
+        except CallError as error:
+            self.host.metrics.count(f"errors_{error.code.replace('.', '_')}")
+            pause_ms = UNREADY_RETRY_AFTER_MS if isinstance(error, NotReady) else 0.0
+            exchange.answer(refusal_response(error, pause_ms))
+            return
+        self.in_hand += 1
+        exchange.on_gone = call.on_caller_gone
+        call.offer_next()
+
+    def budget(self, service: ServiceName) -> AttemptBudget:
+        """Return the budget for further attempts at `service`."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = self._budget_by_service[service] = self.host.new_budget()
+        return budget
+
+    def _begin(self, exchange: HttpExchange) -> _Call:
+        host = self.host
+        request = exchange.request
+        head = host.edge.read_head(request)
+        if host.config.config is None:
+            raise NotReady("no configuration is in force here yet")
+        route = host.config.index.find(request.header(b"host"), request.path)
+        if route is None:
+            raise NoRoute(f"no route of version {host.config.version} matches")
+        service = self.splitter.choose(route)
+        now = host.clock.now()
+        self.budget(service).count_request(now)
+        return _Call(self, exchange, head, route, service, now)
+
+
+class _Call:
+    """Hold one request while it is carried."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        exchange: HttpExchange,
+        head: CallHead,
+        route: MeshRoute,
+        service: ServiceName,
+        now: Millis,
+    ) -> None:
+        self._forwarder = forwarder
+        self._host = forwarder.host
+        self._exchange = exchange
+        self._head = head
+        self._route = route
+        self._service = service
+        self._started = now
+        left_ms = DEFAULT_LEFT_MS if head.left_ms is None else head.left_ms
+        self._left_at_start = left_ms
+        self._deadline = Millis(now + min(left_ms, route.timeout_ms))
+        self._idempotent = route.repeat is Repeat.IDEMPOTENT
+        self._headers = self._host.edge.passed_headers(exchange.request)
+        self._tried: list[Place] = []
+        self._offers = 0
+        # How many targets have got the request, as far as is known.
+        self._arrivals = 0
+        self._may_have_run = False
+        self._failed_answer: Answered | None = None
+        self._cancel: CancelCall | None = None
+        self._ended = False
+        self._timer = after(self._deadline - now + DEADLINE_GRACE_MS, self._on_deadline)
+
+    def offer_next(self) -> None:
+        """Offer the request to the best target that hasn't turned it away."""
+        now = self._host.clock.now()
+        places = [place for place in self._host.places(self._service) if place not in self._tried]
+        index = pick((place.prospect(now) for place in places), self._host.random)
+        if index is None or self._deadline - now < 1:
+            self._refuse(UNREADY_RETRY_AFTER_MS, "no target takes requests")
+            return
+        place = places[index]
+        self._tried.append(place)
+        self._offers += 1
+        self._cancel = None
+        cancel = place.offer(self._make_offer(now), self._on_outcome)
+        if not self._ended and self._tried[-1] is place:
+            self._cancel = cancel
+
+    def on_caller_gone(self) -> None:
+        """Stop work that nobody waits for."""
+        if self._end():
+            self._host.metrics.count("calls_abandoned")
+            if self._cancel is not None:
+                self._cancel()
+
+    def _make_offer(self, now: Millis) -> Offer:
+        request = self._exchange.request
+        return Offer(
+            serial=0,
+            call=self._head.id,
+            route=self._route.name,
+            service=self._service,
+            caller=self._host.own_service(),
+            method=request.method,
+            url=request.url,
+            headers=self._headers,
+            body=request.body,
+            left_ms=round(self._deadline - now, 1),
+            objective_left_ms=round(self._started + self._route.objective_ms - now, 1),
+            priority=self._route.priority,
+            idempotent=self._idempotent,
+        )
+
+    def _on_outcome(self, outcome: Outcome) -> None:
+        if self._ended:
+            return
+        if isinstance(outcome, Answered):
+            self._on_answered(outcome)
+        elif isinstance(outcome, Refused):
+            self._on_refused(outcome)
+        else:
+            self._on_lost(outcome)
+
+    def _on_answered(self, outcome: Answered) -> None:
+        self._arrivals += 1
+        if outcome.status >= 500 and self._idempotent:
+            self._may_have_run = True
+            self._failed_answer = outcome
+            if self._may_attempt_again():
+                self.offer_next()
+                return
+        self._deliver(outcome)
+
+    def _on_refused(self, outcome: Refused) -> None:
+        if outcome.arrived:
+            self._arrivals += 1
+            again = self._may_attempt_again()
+        else:
+            again = self._offers < MOST_OFFERS
+        if again and self._has_untried():
+            self.offer_next()
+        else:
+            self._refuse(outcome.wait_ms, outcome.reason.name.lower())
+
+    def _on_lost(self, outcome: Lost) -> None:
+        self._arrivals += 1
+        self._may_have_run = True
+        timed_out = outcome.reason is LossReason.TIMED_OUT
+        if self._idempotent and not timed_out and self._may_attempt_again():
+            self.offer_next()
+            return
+        kind = AttemptTimeout if timed_out else OutcomeUnknown
+        self._fail(kind(f"the target's answer is lost: {outcome.reason.name.lower()}"))
+
+    def _may_attempt_again(self) -> bool:
+        """Return whether another target may get the request, and spend the budget for it."""
+        now = self._host.clock.now()
+        if self._arrivals >= self._route.max_attempts or not self._has_untried():
+            return False
+        if self._deadline - now < LEAST_USEFUL_MS:
+            return False
+        allowed = self._forwarder.budget(self._service).spend(self._host.daemons(), now)
+        self._host.metrics.count("attempts_again" if allowed else "attempts_over_budget")
+        return allowed
+
+    def _has_untried(self) -> bool:
+        return any(place not in self._tried for place in self._host.places(self._service))
+
+    def _on_deadline(self) -> None:
+        if self._cancel is not None:
+            self._cancel()
+        self._fail(AttemptTimeout("no answer came in time"))
+
+    def _refuse(self, wait_ms: float, reason: str) -> None:
+        """Answer that the request hasn't run, unless an earlier attempt may have run it."""
+        if self._failed_answer is not None:
+            self._deliver(self._failed_answer)
+            return
+        if self._may_have_run:
+            self._fail(OutcomeUnknown("an earlier attempt may have run"))
+            return
+        now = self._host.clock.now()
+        left_ms = self._started + self._left_at_start - now
+        pause_ms = max(LEAST_RETRY_AFTER_MS, min(wait_ms, left_ms * MOST_RETRY_AFTER_SHARE))
+        self._finish("refused", reason, refusal_response(Overloaded(reason), pause_ms))
+
+    def _fail(self, error: CallError) -> None:
+        self._finish("failed", error.message, error_response(error))
+
+    def _deliver(self, answer: Answered) -> None:
+        response = Response(answer.status, answer.headers, answer.body)
+        self._finish("answered", str(answer.status), response)
+
+    def _finish(self, result: str, reason: str, response: Response) -> None:
+        if not self._end():
+            return
+        host = self._host
+        took_ms = host.clock.now() - self._started
+        host.metrics.count(f"calls_{result}")
+        host.metrics.observe("call", took_ms)
+        if result != "answered" or response.status >= 500:
+            host.timeline.record(
+                f"call_{result}",
+                call=self._head.id,
+                target=self._service,
+                version=host.config.version,
+                detail=f"{reason}; route {self._route.name}, {self._offers} offers,"
+                f" {self._arrivals} arrivals, {took_ms:.0f} ms",
+            )
+        self._exchange.answer(response)
+
+    def _end(self) -> bool:
+        """Mark the call as ended; return False where it has ended before."""
+        if self._ended:
+            return False
+        self._ended = True
+        self._timer.cancel()
+        self._forwarder.in_hand -= 1
+        return True
+
+
+def refusal_response(error: CallError, pause_ms: float) -> Response:
+    """Return an answer for `error` that tells when to come back, in seconds with fractions."""
+    response = error_response(error)
+    if error.http_status != 503:
+        return response
+    headers: Headers = [header for header in response.headers if header[0] != b"Retry-After"]
+    headers.append((b"Retry-After", b"%.3f" % (pause_ms / 1_000)))
+    return Response(response.status, headers, response.body)
--- /dev/null
+++ b/egretworks/gatequeue.py
@@ -0,0 +1,146 @@
+"""Decide which requests a target gets, in which order, and which are refused early."""
+
+from __future__ import annotations
+
+import msgspec
+
+from egretworks.clock import Millis
+
+# Used until the first requests have shown how long the target takes.
+FIRST_WORK_MS = 60.0
+WORK_GAIN = 0.1
+# Time that a target needs at least to do anything useful, as a part of its usual time.
+LEAST_WORK_SHARE = 0.5
+# A request that will miss its objective may wait for this part of its time.
+LATE_WAIT_SHARE = 0.35
+
+
+class QueueEntry(msgspec.Struct, eq=False):
+    """Hold a request while it waits for a slot or has one."""
+
+    route: str
+    priority: int
+    arrived: Millis
+    objective_at: Millis
+    expires_at: Millis
+
+
+class WorkTimes:
+    """Estimate how long the target takes for a request of a route."""
+
+    def __init__(self) -> None:
+        self._mean_by_route: dict[str, float] = {}
+        self.mean = FIRST_WORK_MS
+        self._seen = 0
+
+    def of(self, route: str) -> float:
+        """Return the usual time of a request on `route`, in milliseconds."""
+        return self._mean_by_route.get(route, self.mean)
+
+    def note(self, route: str, took_ms: float) -> None:
+        """Learn from a request that has been answered."""
+        self._seen += 1
+        gain = max(WORK_GAIN, 1.0 / self._seen)
+        self.mean += (took_ms - self.mean) * gain
+        known = self._mean_by_route.get(route)
+        self._mean_by_route[route] = (
+            took_ms if known is None else known + (took_ms - known) * WORK_GAIN
+        )
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Tell whether a request may run now, has to wait or is refused."""
+
+    run: bool = False
+    wait: bool = False
+    # For a refusal: when there may be room, in milliseconds.
+    room_in_ms: float = 0.0
+
+
+class GateQueue:
+    """Hold the slots of one target and the requests that wait for one."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.work = WorkTimes()
+        self._waiting: list[QueueEntry] = []
+        self._running = 0
+
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait."""
+        return self._running + len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return self._running
+
+    def enter(self, entry: QueueEntry, now: Millis) -> Verdict:
+        """Take in a request, or refuse it where it can't be answered in time."""
+        if self._running < self.slots and not self._waiting:
+            self._running += 1
+            return Verdict(run=True)
+        wait_ms = self._wait_of(entry, now)
+        allowed_ms = self._allowed_wait(entry, now)
+        if wait_ms > allowed_ms:
+            return Verdict(room_in_ms=wait_ms - max(0.0, allowed_ms))
+        self._waiting.append(entry)
+        return Verdict(wait=True)
+
+    def leave(self) -> None:
+        """Free the slot of a request that has ended."""
+        self._running -= 1
+
+    def withdraw(self, entry: QueueEntry) -> bool:
+        """Take a waiting request out; returns False where it doesn't wait."""
+        if entry not in self._waiting:
+            return False
+        self._waiting.remove(entry)
+        return True
+
+    def admit(self, now: Millis) -> QueueEntry | None:
+        """Return the request that gets the next free slot, or None."""
+        if self._running >= self.slots or not self._waiting:
+            return None
+        entry = min(self._waiting, key=lambda waiting: self._rank(waiting, now))
+        self._waiting.remove(entry)
+        self._running += 1
+        return entry
+
+    def give_up(self, now: Millis) -> list[QueueEntry]:
+        """Take out and return the waiting requests that can't be answered in time any more."""
+        hopeless = [entry for entry in self._waiting if self._is_hopeless(entry, now)]
+        for entry in hopeless:
+            self._waiting.remove(entry)
+        return hopeless
+
+    def drop_all(self) -> list[QueueEntry]:
+        """Take out and return everything that waits."""
+        dropped, self._waiting = self._waiting, []
+        return dropped
+
+    def _rank(self, entry: QueueEntry, now: Millis) -> tuple[int, bool, Millis]:
+        """Order by urgency; what will miss its objective goes behind what can make it."""
+        late = now + self.work.of(entry.route) > entry.objective_at
+        return (entry.priority, late, entry.arrived)
+
+    def _wait_of(self, entry: QueueEntry, now: Millis) -> float:
+        """Return how long `entry` would wait, in milliseconds."""
+        rank = self._rank(entry, now)
+        ahead_ms = self.work.mean
+        for waiting in self._waiting:
+            if self._rank(waiting, now) < rank:
+                ahead_ms += self.work.of(waiting.route)
+        return ahead_ms / max(1, self.slots)
+
+    def _allowed_wait(self, entry: QueueEntry, now: Millis) -> float:
+        work_ms = self.work.of(entry.route)
+        in_time_ms = entry.objective_at - now - work_ms
+        if in_time_ms > 0:
+            return in_time_ms
+        return (entry.expires_at - now - work_ms) * LATE_WAIT_SHARE
+
+    def _is_hopeless(self, entry: QueueEntry, now: Millis) -> bool:
+        work_ms = self.work.of(entry.route)
+        return now + work_ms * LEAST_WORK_SHARE > entry.expires_at
--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -4,6 +4,7 @@
 
 import json
 from collections import deque
+from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from http import HTTPStatus
 
@@ -108,6 +109,12 @@
             # The parser holds a header that hasn't ended yet.
             self._count_header_bytes(unread)
 
+    @property
+    def expects_continue(self) -> bool:
+        """Return, once a request, whether its caller waits for leave to send the body."""
+        expects, self._expects_continue = self._expects_continue, False
+        return expects
+
     def next(self) -> Request | None:
         """Return the next whole request, or None."""
         return self._ready.popleft() if self._ready else None
@@ -120,6 +127,7 @@
         self._header_bytes = 0
         self._headers_done = False
         self._begun = False
+        self._expects_continue = False
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
@@ -148,6 +156,8 @@
         for name, value in self._headers:
             if name == b"content-length" and int(value) > self._max_body_bytes:
                 raise BadRequest(f"the body is over {self._max_body_bytes} bytes")
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._expects_continue = True
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
@@ -173,9 +183,22 @@
 class ResponseReader:
     """Assemble one answer, in bounded memory, and know whether it is whole."""
 
-    def __init__(self, method: str, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        method: str,
+        max_body_bytes: int,
+        belongs: Callable[[Response], bool] = lambda response: True,
+    ) -> None:
+        """Read the answer to a request of `method`.
+
+        `belongs` tells whether an answer belongs to the request; others are skipped.
+        """
         self._without_body = method == "HEAD"
         self._max_body_bytes = max_body_bytes
+        self._belongs = belongs
+        self._skipped = False
+        self._framed = False
+        self._in_body = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -192,17 +215,26 @@
                 raise OutcomeUnknown(f"the answer can't be read: {error}") from error
             self.response.keep_alive = False
 
+    def finish(self) -> None:
+        """Note that the target has closed the connection, which ends an answer without a length."""
+        if self.response is None and self._in_body and not self._framed:
+            self._finish(keep_alive=False)
+
     def on_message_begin(self) -> None:
         """Give up a connection that brings more than the one answer."""
+        self._framed = False
         if self.response is not None:
             self.response.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self._headers.append((name, value))
+        if name.lower() in (b"content-length", b"transfer-encoding"):
+            self._framed = True
 
     def on_headers_complete(self) -> None:
         """End an answer that has no body."""
+        self._in_body = True
         self._interim = self._parser.get_status_code() < 200
         if self._without_body and not self._interim:
             self._finish(keep_alive=False)
@@ -216,6 +248,7 @@
 
     def on_message_complete(self) -> None:
         """End an answer whose body is whole, or skip an interim one."""
+        self._in_body = False
         if self._interim:
             self._headers = []
             return
@@ -223,12 +256,20 @@
             self._finish(keep_alive=self._parser.should_keep_alive())
 
     def _finish(self, *, keep_alive: bool) -> None:
-        self.response = Response(
+        response = Response(
             status=self._parser.get_status_code(),
             headers=self._headers,
             body=b"".join(self._body),
-            keep_alive=keep_alive,
+            keep_alive=keep_alive and not self._skipped,
         )
+        if self._belongs(response):
+            self.response = response
+            return
+        # A late answer to an earlier request; the connection isn't used after this one.
+        self._skipped = True
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
 
 
 def encode_request(request: Request, host: str, extra: Headers) -> bytes:
--- /dev/null
+++ b/egretworks/links.py
@@ -0,0 +1,355 @@
+"""Hold the links between daemons: offers go out on the caller's side, answers come back."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from egretworks.clock import Clock, Millis
+from egretworks.configholder import ConfigHolder
+from egretworks.exceptions import PeerError
+from egretworks.gate import CancelCall, Gate, Reply
+from egretworks.linkframes import (
+    Answered,
+    Cancel,
+    ConfigAsked,
+    ConfigCopy,
+    Frame,
+    FrameReader,
+    GateReport,
+    Hello,
+    LossReason,
+    Lost,
+    Offer,
+    Outcome,
+    Ping,
+    Pong,
+    Refused,
+    Rows,
+    encode_frame,
+)
+from egretworks.metrics import Metrics
+from egretworks.picking import Prospect
+from egretworks.rows import DaemonRow, RowTable
+from egretworks.streams import Stream, connect
+from egretworks.timeline import Timeline
+from egretworks.types import InstanceId
+
+CONNECT_TIMEOUT_MS = 600
+# A link that has been silent this long with offers out, or without, is asked for a sign of life.
+BUSY_PING_MS = 150
+IDLE_PING_MS = 1_000
+# A daemon that leaves a ping unanswered this long gets no offers if another can have them.
+SUSPECT_MS = 300
+# And its link is given up after this time, since connections may go silent for good.
+BROKEN_MS = 1_500
+RECONNECT_MS = 250
+# Failed attempts lengthen the pause up to this.
+RECONNECT_MOST_MS = 1_500
+# A peer that doesn't read gets no further offers over this much unsent.
+MOST_UNSENT_BYTES = 4_000_000
+UNKNOWN_REPORT = GateReport(slots=0, load=0, work_ms=0.0)
+
+log = logging.getLogger(__name__)
+
+
+class LinkHost(msgspec.Struct, frozen=True):
+    """Hold what links need of the daemon around them."""
+
+    clock: Clock
+    metrics: Metrics
+    timeline: Timeline
+    rows: RowTable
+    config: ConfigHolder
+    gate: Gate
+    # Called with rows that are news.
+    on_news: Callable[[list[DaemonRow]], None]
+
+    def hello(self) -> Hello:
+        """Return what opens a link."""
+        return Hello(self.rows.own, self.config.version, self.rows.all_rows())
+
+    def learn(self, rows: list[DaemonRow]) -> None:
+        """Take in rows from a peer."""
+        news = self.rows.merge(rows)
+        if news:
+            self.on_news(news)
+
+
+class LocalPlace:
+    """Offer requests to the target beside this daemon."""
+
+    near = True
+
+    def __init__(self, gate: Gate) -> None:
+        self._gate = gate
+
+    def offer(self, offer: Offer, reply: Reply) -> CancelCall:
+        """Offer a request to the gate."""
+        return self._gate.offer(offer, reply)
+
+    def prospect(self, _now: Millis) -> Prospect:
+        """Return how the target stands."""
+        report = self._gate.report()
+        return Prospect(
+            report.load, report.slots, report.work_ms, report.failing_percent, True, False
+        )
+
+
+class PeerLink:
+    """Offer requests to the target beside another daemon, over one connection that is kept."""
+
+    def __init__(self, host: LinkHost, row: DaemonRow) -> None:
+        self._host = host
+        self.row = row
+        self.near = row.data_centre == host.rows.own.data_centre
+        self._stream: Stream | None = None
+        self._reader = FrameReader()
+        self._connecting: Callable[[], None] | None = None
+        self._ready = False
+        self._serial = 0
+        self._reply_by_serial: dict[int, Reply] = {}
+        self._report = UNKNOWN_REPORT
+        # What others have at the target, as of the last report.
+        self._load_of_others = 0
+        self._heard_at = Millis(0)
+        self._pinged_at: Millis | None = None
+        self._try_at = Millis(0)
+        self._failures = 0
+
+    @property
+    def usable(self) -> bool:
+        """Return whether offers can be made."""
+        return self._ready and self._stream.unsent_bytes < MOST_UNSENT_BYTES
+
+    def offer(self, offer: Offer, reply: Reply) -> CancelCall:
+        """Send a request to the daemon beside the target."""
+        self._serial += 1
+        serial = self._serial
+        self._reply_by_serial[serial] = reply
+        self._send(msgspec.structs.replace(offer, serial=serial))
+
+        def cancel() -> None:
+            if self._reply_by_serial.pop(serial, None) is not None:
+                self._send(Cancel(serial))
+
+        return cancel
+
+    def prospect(self, now: Millis) -> Prospect:
+        """Return how the target stands, as far as this daemon knows."""
+        report = self._report
+        target = self.row.target
+        suspect = self._pinged_at is not None and now - self._pinged_at > SUSPECT_MS
+        return Prospect(
+            self._load_of_others + len(self._reply_by_serial),
+            report.slots or (target.slots if target else 1),
+            report.work_ms or 60.0,
+            report.failing_percent,
+            self.near,
+            suspect,
+        )
+
+    def tell(self, frame: Frame) -> None:
+        """Send `frame` if the link is up."""
+        if self._ready:
+            self._send(frame)
+
+    def tick(self, now: Millis) -> None:
+        """Connect, ask for a sign of life or give the link up, as is due."""
+        if self._stream is None:
+            if self._connecting is None and now >= self._try_at:
+                self._connecting = connect(
+                    self.row.endpoint, CONNECT_TIMEOUT_MS, self._on_connected
+                )
+            return
+        if self._pinged_at is not None:
+            if now - self._pinged_at > BROKEN_MS:
+                self._break("it left a ping unanswered")
+            return
+        silent_ms = now - self._heard_at
+        if silent_ms > (BUSY_PING_MS if self._reply_by_serial else IDLE_PING_MS):
+            self._pinged_at = now
+            if self._ready:
+                self._send(Ping(self._host.config.version))
+
+    def reconnect_soon(self) -> None:
+        """Try to connect without waiting longer, as there is news of the peer."""
+        self._failures = 0
+        self._try_at = Millis(0)
+
+    def close(self) -> None:
+        """Close the link; offers that are out end as lost."""
+        if self._connecting is not None:
+            self._connecting()
+            self._connecting = None
+        self._break("it is no longer wanted")
+
+    def on_data(self, data: bytes) -> None:
+        """Take in bytes from the peer."""
+        now = self._host.clock.now()
+        self._heard_at = now
+        self._pinged_at = None
+        try:
+            frames = self._reader.feed(data)
+        except PeerError as error:
+            self._break(error.message)
+            return
+        for frame in frames:
+            if self._stream is not None:
+                self._take(frame)
+
+    def on_end(self, *, clean: bool) -> None:
+        """Note that the link has ended."""
+        self._break("the peer closed it" if clean else "it broke")
+
+    def _on_connected(self, stream: Stream | None) -> None:
+        self._connecting = None
+        now = self._host.clock.now()
+        if stream is None:
+            self._delay_next_try(now)
+            return
+        self._stream = stream
+        self._reader = FrameReader()
+        self._heard_at = now
+        self._pinged_at = now
+        stream.start(self)
+        self._send(self._host.hello())
+
+    def _delay_next_try(self, now: Millis) -> None:
+        self._failures += 1
+        pause_ms = min(RECONNECT_MOST_MS, RECONNECT_MS * self._failures)
+        self._try_at = Millis(now + pause_ms)
+
+    def _send(self, frame: Frame) -> None:
+        if self._stream is not None:
+            self._stream.write(encode_frame(frame))
+
+    def _take(self, frame: Frame) -> None:
+        if isinstance(frame, Answered | Refused | Lost):
+            self._finish(frame)
+        elif isinstance(frame, Pong):
+            self._note_report(frame.report)
+            self._host.config.note_peer(frame.config_version, self)
+        elif isinstance(frame, Hello):
+            self._greet(frame)
+        elif isinstance(frame, Rows):
+            self._host.learn(frame.rows)
+        elif isinstance(frame, ConfigCopy):
+            self._host.config.take_copy(frame, self.row.id)
+        elif isinstance(frame, ConfigAsked):
+            self._host.config.answer(self)
+
+    def _greet(self, hello: Hello) -> None:
+        self._host.learn([hello.row, *hello.rows])
+        if hello.row.id != self.row.id:
+            # Another daemon has the address now.
+            self._break("another daemon answered")
+            return
+        self._ready = True
+        self._failures = 0
+        self._host.timeline.record("link_up", target=self.row.id)
+        self._host.config.note_peer(hello.config_version, self)
+
+    def _finish(self, outcome: Outcome) -> None:
+        reply = self._reply_by_serial.pop(outcome.serial, None)
+        self._note_report(outcome.report)
+        if reply is not None:
+            reply(outcome)
+
+    def _note_report(self, report: GateReport) -> None:
+        self._report = report
+        self._load_of_others = max(0, report.load - len(self._reply_by_serial))
+
+    def _break(self, reason: str) -> None:
+        stream, self._stream = self._stream, None
+        if stream is None:
+            return
+        stream.close()
+        now = self._host.clock.now()
+        self._pinged_at = None
+        if not self._ready:
+            self._delay_next_try(now)
+        else:
+            self._ready = False
+            self._try_at = now
+            self._host.timeline.record("link_down", target=self.row.id, detail=reason)
+        replies, self._reply_by_serial = self._reply_by_serial, {}
+        for serial, reply in replies.items():
+            reply(Lost(serial, LossReason.LINK_LOST, self._report))
+
+
+class ServedLink:
+    """Answer the offers of one other daemon."""
+
+    def __init__(self, host: LinkHost, stream: Stream, on_closed: Callable) -> None:
+        self._host = host
+        self._stream = stream
+        self._on_closed = on_closed
+        self._reader = FrameReader()
+        self._cancel_by_serial: dict[int, CancelCall] = {}
+        self._peer: InstanceId | None = None
+        stream.start(self)
+
+    def on_data(self, data: bytes) -> None:
+        """Take in bytes from the peer."""
+        try:
+            frames = self._reader.feed(data)
+        except PeerError as error:
+            log.warning("a link from %s ends: %s", self._peer, error)
+            self._stream.close()
+            self.on_end(clean=False)
+            return
+        for frame in frames:
+            self._take(frame)
+
+    def on_end(self, *, clean: bool) -> None:
+        """Stop what nobody waits for any more."""
+        self._on_closed(self)
+        cancels, self._cancel_by_serial = self._cancel_by_serial, {}
+        for cancel in cancels.values():
+            cancel()
+
+    def tell(self, frame: Frame) -> None:
+        """Send `frame` to the peer."""
+        self._stream.write(encode_frame(frame))
+
+    def close(self) -> None:
+        """Close the link once the peer has taken everything."""
+        self._stream.close_when_sent()
+
+    def _take(self, frame: Frame) -> None:
+        if isinstance(frame, Offer):
+            self._take_offer(frame)
+        elif isinstance(frame, Cancel):
+            cancel = self._cancel_by_serial.pop(frame.serial, None)
+            if cancel is not None:
+                cancel()
+        elif isinstance(frame, Ping):
+            self.tell(Pong(self._host.config.version, self._host.gate.report()))
+            self._host.config.note_peer(frame.config_version, self)
+        elif isinstance(frame, Hello):
+            self._peer = frame.row.id
+            self.tell(self._host.hello())
+            self._host.learn([frame.row, *frame.rows])
+            self._host.config.note_peer(frame.config_version, self)
+        elif isinstance(frame, Rows):
+            self._host.learn(frame.rows)
+        elif isinstance(frame, ConfigAsked):
+            self._host.config.answer(self)
+        elif isinstance(frame, ConfigCopy):
+            self._host.config.take_copy(frame, self._peer)
+
+    def _take_offer(self, offer: Offer) -> None:
+        finished = False
+
+        def reply(outcome: Outcome) -> None:
+            nonlocal finished
+            finished = True
+            self._cancel_by_serial.pop(offer.serial, None)
+            self.tell(outcome)
+
+        cancel = self._host.gate.offer(offer, reply)
+        if not finished:
+            self._cancel_by_serial[offer.serial] = cancel
--- a/egretworks/logs.py
+++ b/egretworks/logs.py
@@ -35,8 +35,8 @@
 
 
 def set_up(instance: str, level: str, stream: TextIO | None = None) -> None:
-    """Send all logs at `level` or above to `stream`, by default standard error."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+    """Send all logs at `level` or above to `stream`, by default standard output."""
+    handler = logging.StreamHandler(stream or sys.stdout)
     handler.setFormatter(JsonFormatter(instance))
     root = logging.getLogger()
     root.handlers = [handler]
--- /dev/null
+++ b/egretworks/picking.py
@@ -0,0 +1,51 @@
+"""Choose the target that should answer a request soonest."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from egretworks.types import RandomSource
+
+# What a request to another data centre costs, as if it were time.
+FAR_COST_MS = 40.0
+# Spreads callers that know the same over targets that are almost alike.
+SPREAD = 0.15
+FAILING_WEIGHT = 0.04
+
+
+class Prospect(msgspec.Struct):
+    """Describe a target as its caller knows it."""
+
+    load: int
+    slots: int
+    work_ms: float
+    failing_percent: int
+    near: bool
+    # Its daemon hasn't answered for a while.
+    suspect: bool
+
+
+def expected_ms(prospect: Prospect) -> float:
+    """Return how long the target takes to answer one more request, in milliseconds."""
+    slots = max(1, prospect.slots)
+    queued = max(0, prospect.load + 1 - slots)
+    # A target slows down when its last slots fill up.
+    filled = min(1.0, prospect.load / slots)
+    work_ms = prospect.work_ms * (1.0 + prospect.failing_percent * FAILING_WEIGHT)
+    return work_ms * (1.0 + queued / slots + 0.25 * filled * filled)
+
+
+def pick(prospects: Iterable[Prospect], random: RandomSource) -> int | None:
+    """Return the index of the best of `prospects`, or None where there is none."""
+    best = None
+    best_rank = (True, 0.0)
+    for index, prospect in enumerate(prospects):
+        cost_ms = expected_ms(prospect) * (1.0 + SPREAD * random.random())
+        if not prospect.near:
+            cost_ms += FAR_COST_MS
+        rank = (prospect.suspect, cost_ms)
+        if best is None or rank < best_rank:
+            best, best_rank = index, rank
+    return best
--- /dev/null
+++ b/egretworks/sidecar.py
@@ -0,0 +1,347 @@
+"""Put the daemon beside a target together, run it and stop it without cutting a request."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import eventlet
+import eventlet.event
+
+from egretworks import logs
+from egretworks.attemptbudget import AttemptBudget
+from egretworks.clock import SystemClock, seconds
+from egretworks.config import SidecarSettings, read_sidecar_settings
+from egretworks.configholder import ConfigHolder
+from egretworks.edge import Edge, Heartbeat
+from egretworks.exceptions import BadRequest, SettingsError
+from egretworks.forwarding import Forwarder, ForwardHost, Place
+from egretworks.gate import Gate, GateHost
+from egretworks.httpport import HttpExchange, HttpPort
+from egretworks.httpwire import Response, error_response
+from egretworks.linkframes import Rows
+from egretworks.links import LinkHost, LocalPlace, PeerLink, ServedLink
+from egretworks.metrics import Metrics
+from egretworks.rows import DaemonRow, RowTable
+from egretworks.storekeeper import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    ROW_KIND,
+    Follower,
+    RowKeeper,
+    Store,
+    Stored,
+    decode_row,
+)
+from egretworks.streams import Listener, Stream, after
+from egretworks.timeline import Timeline
+from egretworks.types import DataCentre, Endpoint, InstanceId, ServiceName, parse_endpoint
+
+TICK_MS = 50
+SWEEP_MS = 500
+# The settings file may change without a signal.
+SETTINGS_POLL_MS = 1_000
+# Two readiness checks, a second apart, take a daemon out; this is a little longer.
+OUT_OF_ROTATION_MS = 2_200
+# The other daemons send nothing more this long after they have heard of the stop.
+NEWS_SPREAD_MS = 300
+# Left of the grace time when the daemon ends what is still open.
+LEAST_GRACE_LEFT_MS = 400
+DRAIN_POLL_MS = 25
+
+log = logging.getLogger(__name__)
+
+ConnectStore = Callable[[str], Store]
+
+
+class Sidecar:
+    """Run the daemon beside one target."""
+
+    def __init__(
+        self, path: Path, settings: SidecarSettings, edge: Edge, connect_store: ConnectStore
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._edge = edge
+        self._connect_store = connect_store
+        self._clock = SystemClock()
+        self._random = random.Random()
+        self._metrics = Metrics()
+        self._stopping = False
+        self._stopped = eventlet.event.Event()
+        instance = settings.instance
+        self._timeline = Timeline(InstanceId(instance.id), self._clock)
+        own = DaemonRow(
+            InstanceId(instance.id),
+            DataCentre(instance.data_centre),
+            instance.host,
+            settings.listen.link_port,
+            incarnation=int(self._clock.wall()),
+            serial=0,
+        )
+        self._rows = RowTable(own)
+        self._config = ConfigHolder(edge.decode_config, self._timeline, self._on_config)
+        self._gate = Gate(
+            GateHost(
+                self._clock,
+                edge,
+                self._metrics,
+                self._timeline,
+                settings.bounds.drain_ms,
+                self._config.health_path,
+                self._on_target_changed,
+            )
+        )
+        self._local_place = LocalPlace(self._gate)
+        self._link_host = LinkHost(
+            self._clock,
+            self._metrics,
+            self._timeline,
+            self._rows,
+            self._config,
+            self._gate,
+            self._on_news,
+        )
+        self._links_by_id: dict[InstanceId, PeerLink] = {}
+        self._served: set[ServedLink] = set()
+        self._forwarder = Forwarder(self._forward_host())
+        self._row_keeper: RowKeeper | None = None
+        self._open_ports()
+
+    def run(self) -> None:
+        """Start everything and return once the daemon has stopped."""
+        self._timeline.record("started", detail=f"service={self._settings.instance.service}")
+        signal.signal(signal.SIGTERM, lambda *_: after(0, self.stop))
+        signal.signal(signal.SIGHUP, lambda *_: after(0, self._reload))
+        after(TICK_MS, self._tick)
+        after(SWEEP_MS, self._sweep)
+        eventlet.spawn_n(self._poll_settings)
+        eventlet.spawn_n(self._follow_store)
+        self._stopped.wait()
+        self._timeline.record("stopped")
+
+    def stop(self) -> None:
+        """Drain and stop; a second call changes nothing."""
+        if not self._stopping:
+            self._stopping = True
+            self._timeline.record("stopping")
+            eventlet.spawn_n(self._drain)
+
+    def _forward_host(self) -> ForwardHost:
+        bounds = self._settings.bounds
+        return ForwardHost(
+            self._clock,
+            self._random,
+            self._edge,
+            self._metrics,
+            self._timeline,
+            self._config,
+            self._places,
+            lambda: 1 + len(self._rows.rows_by_id),
+            lambda: ServiceName(self._settings.instance.service),
+            lambda: AttemptBudget(bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack),
+        )
+
+    def _open_ports(self) -> None:
+        listen = self._settings.listen
+        host = self._settings.instance.host
+        clock, limits = self._clock, lambda: self._config.limits
+        try:
+            self._ready_port = HttpPort(
+                parse_endpoint(listen.ready), clock, limits, self._serve_ready
+            )
+            self._announcement_port = HttpPort(
+                parse_endpoint(listen.announcements), clock, limits, self._serve_announcement
+            )
+            self._call_port = HttpPort(
+                parse_endpoint(listen.calls), clock, limits, self._forwarder.serve
+            )
+            self._link_listener = Listener(Endpoint(host, listen.link_port), self._accept_link)
+            self._metrics_port = HttpPort(
+                Endpoint(host, listen.metrics_port), clock, limits, self._serve_metrics
+            )
+        except OSError as error:
+            raise SettingsError(f"a port can't be opened: {error}") from error
+
+    def _places(self, service: ServiceName) -> list[Place]:
+        """Return the places that take requests for `service`."""
+        places: list[Place] = []
+        own = self._gate.row()
+        if own is not None and own.serving and own.service == service:
+            places.append(self._local_place)
+        for link in self._links_by_id.values():
+            row = link.row
+            target = row.target
+            if (
+                target is not None
+                and target.serving
+                and target.service == service
+                and not row.leaving
+                and link.usable
+            ):
+                places.append(link)
+        return places
+
+    def _serve_ready(self, exchange: HttpExchange) -> None:
+        ready = self._config.config is not None and not self._stopping
+        known = self._edge.asks_readiness(exchange.request)
+        status = 404 if not known else 200 if ready else 503
+        exchange.answer(Response(status, [], b""))
+
+    def _serve_announcement(self, exchange: HttpExchange) -> None:
+        try:
+            announcement = self._edge.read_announcement(exchange.request)
+            if isinstance(announcement, Heartbeat):
+                self._check_heartbeat(announcement)
+        except BadRequest as error:
+            self._timeline.record("announcement_refused", detail=error.message)
+            exchange.answer(error_response(error))
+            return
+        self._gate.announce(announcement)
+        exchange.answer(Response(200, [(b"Content-Type", b"application/json")], b"{}"))
+
+    def _check_heartbeat(self, beat: Heartbeat) -> None:
+        """Raise `BadRequest` where the heartbeat can't be that of the target beside the daemon."""
+        if beat.endpoint.host != self._settings.instance.host:
+            raise BadRequest(f"target {beat.id} at {beat.endpoint} isn't on this instance")
+        config = self._config.config
+        if config is not None and beat.service not in config.services_by_name:
+            raise BadRequest(f"target {beat.id}: service {beat.service!r} isn't defined")
+
+    def _serve_metrics(self, exchange: HttpExchange) -> None:
+        body = "\n".join(self._metrics.lines()).encode() + b"\n"
+        exchange.answer(Response(200, [(b"Content-Type", b"text/plain")], body))
+
+    def _accept_link(self, stream: Stream) -> None:
+        self._served.add(ServedLink(self._link_host, stream, self._served.discard))
+
+    def _on_config(self) -> None:
+        self._gate.check_unconfirmed()
+
+    def _on_target_changed(self) -> None:
+        self._publish(self._rows.change_own(target=self._gate.row()))
+
+    def _publish(self, row: DaemonRow) -> None:
+        """Tell the other daemons and the store of the changed own row."""
+        frame = Rows([row])
+        for link in self._links_by_id.values():
+            link.tell(frame)
+        for served in self._served:
+            served.tell(frame)
+        if self._row_keeper is not None:
+            self._row_keeper.wake()
+
+    def _on_news(self, rows: list[DaemonRow]) -> None:
+        for row in rows:
+            link = self._links_by_id.get(row.id)
+            if link is None:
+                self._links_by_id[row.id] = PeerLink(self._link_host, row)
+                continue
+            if row.endpoint != link.row.endpoint:
+                link.close()
+            if row.incarnation != link.row.incarnation:
+                link.reconnect_soon()
+            link.row = row
+
+    def _tick(self) -> None:
+        after(TICK_MS, self._tick)
+        now = self._clock.now()
+        for link in list(self._links_by_id.values()):
+            link.tick(now)
+
+    def _sweep(self) -> None:
+        after(SWEEP_MS, self._sweep)
+        for port in (self._call_port, self._announcement_port, self._ready_port):
+            port.sweep()
+
+    def _follow_store(self) -> None:
+        store = self._connect_store(self._settings.platform.address)
+        followers = (
+            Follower(store, CONFIG_KIND, self._take_configs, self._timeline, self._random),
+            Follower(store, ROW_KIND, self._take_rows, self._timeline, self._random),
+        )
+        for follower in followers:
+            eventlet.spawn_n(follower.run)
+        self._row_keeper = RowKeeper(
+            store,
+            lambda: self._rows.own,
+            lambda row: self._link_host.learn([row]),
+            self._timeline,
+            self._random,
+        )
+        self._row_keeper.run()
+
+    def _take_configs(self, objects: tuple[Stored, ...]) -> None:
+        """Put the newest valid version of a batch into force."""
+        for stored in reversed(objects):
+            usable = stored.name == CONFIG_NAME and not stored.deleted
+            if usable and self._config.take(stored.document, f"store revision {stored.revision}"):
+                return
+
+    def _take_rows(self, objects: tuple[Stored, ...]) -> None:
+        rows = []
+        for stored in objects:
+            row = None if stored.deleted else decode_row(stored.document)
+            if row is not None and row.id == stored.name:
+                rows.append(row)
+            else:
+                self._timeline.record(
+                    "row_ignored", target=stored.name, detail=f"deleted={stored.deleted}"
+                )
+        self._link_host.learn(rows)
+
+    def _poll_settings(self) -> None:
+        """Read the settings again when their file changes."""
+        changed_at = self._path.stat().st_mtime_ns
+        while True:
+            eventlet.sleep(seconds(SETTINGS_POLL_MS))
+            latest = self._path.stat().st_mtime_ns
+            if latest != changed_at:
+                changed_at = latest
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take over changed settings; what can't be read or used leaves the old ones in force."""
+        try:
+            settings = read_sidecar_settings(self._path)
+        except SettingsError as error:
+            self._timeline.record("settings_refused", detail=error.message)
+            return
+        if settings == self._settings:
+            return
+        if settings.listen != self._settings.listen:
+            self._timeline.record("settings_need_restart", detail="the addresses have changed")
+        self._settings = settings
+        self._timeline.record("settings_reloaded", detail=f"service={settings.instance.service}")
+
+    def _drain(self) -> None:
+        """Leave the rotation, finish what is in hand, and end."""
+        started = self._clock.now()
+        last_moment = started + self._settings.bounds.grace_ms - LEAST_GRACE_LEFT_MS
+        eventlet.sleep(seconds(OUT_OF_ROTATION_MS - NEWS_SPREAD_MS))
+        self._call_port.closing = True
+        self._gate.stopping = True
+        self._publish(self._rows.change_own(leaving=True, target=self._gate.row()))
+        eventlet.sleep(seconds(NEWS_SPREAD_MS))
+        while self._clock.now() < last_moment and self._busy():
+            eventlet.sleep(seconds(DRAIN_POLL_MS))
+        self._call_port.stop_listening()
+        self._call_port.close_idle()
+        while self._clock.now() < last_moment and self._call_port.busy:
+            eventlet.sleep(seconds(DRAIN_POLL_MS))
+        for served in list(self._served):
+            served.close()
+        self._stopped.send()
+
+    def _busy(self) -> bool:
+        return bool(self._forwarder.in_hand or self._gate.running)
+
+
+def run_sidecar(path: Path, edge: Edge, connect_store: ConnectStore) -> None:
+    """Run the daemon by the settings in `path` until it is told to stop."""
+    settings = read_sidecar_settings(path)
+    logs.set_up(settings.instance.id, settings.log.level)
+    Sidecar(path, settings, edge, connect_store).run()
--- /dev/null
+++ b/egretworks/targetlink.py
@@ -0,0 +1,177 @@
+"""Exchange requests and answers with the target beside the daemon over kept connections."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from egretworks.clock import Clock, Millis
+from egretworks.exceptions import OutcomeUnknown
+from egretworks.httpwire import Response, ResponseReader
+from egretworks.streams import Stream, after, connect
+from egretworks.types import Endpoint
+
+CONNECT_TIMEOUT_MS = 400
+# A kept connection is given up this long before the target would close it.
+KEEP_ALIVE_MARGIN_MS = 600
+# Idle time of a kept connection where the target states none.
+IDLE_MS = 4_000
+
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+
+class ExchangeFailure(Enum):
+    """State how an exchange without a whole answer ended."""
+
+    NO_CONNECTION = "no_connection"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+
+
+Done = Callable[[Response | ExchangeFailure], None]
+
+
+class Exchange(msgspec.Struct, frozen=True):
+    """Describe a request to a target."""
+
+    method: str
+    data: bytes
+    timeout_ms: float
+    # Tells whether an answer belongs to this request; others are skipped.
+    belongs: Callable[[Response], bool]
+    done: Done
+
+
+class TargetLink:
+    """Hold the connections to the target at `endpoint`."""
+
+    def __init__(self, endpoint: Endpoint, clock: Clock, max_body_bytes: int) -> None:
+        self.endpoint = endpoint
+        self._clock = clock
+        self._max_body_bytes = max_body_bytes
+        self._idle: list[_Connection] = []
+
+    def send(self, exchange: Exchange) -> Callable[[], None]:
+        """Begin `exchange` and return a function that breaks it off without a word to it."""
+        connection = self._take_idle()
+        if connection is not None:
+            connection.begin(exchange)
+            return connection.break_off
+        pending = _Pending(self, exchange)
+        return pending.break_off
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.stream.close()
+
+    def _take_idle(self) -> _Connection | None:
+        now = self._clock.now()
+        while self._idle:
+            connection = self._idle.pop()
+            if now < connection.usable_until:
+                return connection
+            connection.stream.close()
+        return None
+
+    def _keep(self, connection: _Connection, response: Response) -> None:
+        stated = _KEEP_ALIVE_TIMEOUT.search(response.header(b"keep-alive"))
+        idle_ms = int(stated[1]) * 1_000 - KEEP_ALIVE_MARGIN_MS if stated else IDLE_MS
+        connection.usable_until = Millis(self._clock.now() + idle_ms)
+        self._idle.append(connection)
+
+    def _discard(self, connection: _Connection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+        connection.stream.close()
+
+
+class _Pending:
+    """Wait for a new connection to carry an exchange."""
+
+    def __init__(self, link: TargetLink, exchange: Exchange) -> None:
+        self._link = link
+        self._exchange = exchange
+        self.break_off = connect(link.endpoint, CONNECT_TIMEOUT_MS, self._on_connected)
+
+    def _on_connected(self, stream: Stream | None) -> None:
+        if stream is None:
+            self._exchange.done(ExchangeFailure.NO_CONNECTION)
+            return
+        connection = _Connection(self._link, stream)
+        self.break_off = connection.break_off
+        connection.begin(self._exchange)
+
+
+class _Connection:
+    """Carry one exchange after another."""
+
+    def __init__(self, link: TargetLink, stream: Stream) -> None:
+        self._link = link
+        self.stream = stream
+        self.usable_until = Millis(0)
+        self._exchange: Exchange | None = None
+        self._reader: ResponseReader | None = None
+        self._timer = None
+        stream.start(self)
+
+    def begin(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+        self._reader = ResponseReader(exchange.method, self._link._max_body_bytes, exchange.belongs)
+        self._timer = after(exchange.timeout_ms, self._fail, ExchangeFailure.TIMED_OUT)
+        self.stream.write(exchange.data)
+
+    def break_off(self) -> None:
+        """Close the connection, which makes the target stop its work."""
+        self._clear()
+        self.stream.close()
+
+    def on_data(self, data: bytes) -> None:
+        if self._exchange is None:
+            # Nobody asked for these bytes.
+            self._link._discard(self)
+            return
+        reader = self._reader
+        try:
+            reader.feed(data)
+        except OutcomeUnknown:
+            self._fail(ExchangeFailure.BROKEN)
+            return
+        if reader.response is not None:
+            self._finish(reader.response)
+
+    def on_end(self, *, clean: bool) -> None:
+        if self._exchange is None:
+            self._link._discard(self)
+            return
+        if clean:
+            self._reader.finish()
+        if self._reader.response is not None:
+            self._finish(self._reader.response)
+        else:
+            self._fail(ExchangeFailure.BROKEN)
+
+    def _finish(self, response: Response) -> None:
+        done = self._clear()
+        # A target may answer before it has read the whole request.
+        if response.keep_alive and not self.stream.unsent_bytes and not self.stream.closed:
+            self._link._keep(self, response)
+        else:
+            self.stream.close()
+        done(response)
+
+    def _fail(self, failure: ExchangeFailure) -> None:
+        done = self._clear()
+        self.stream.close()
+        done(failure)
+
+    def _clear(self) -> Done | None:
+        exchange, self._exchange, self._reader = self._exchange, None, None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        return exchange.done if exchange else None
--- a/egretworks/types.py
+++ b/egretworks/types.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import NewType, Protocol
+from typing import NamedTuple, NewType, Protocol
 
 InstanceId = NewType("InstanceId", str)
 TargetId = NewType("TargetId", str)
 DataCentre = NewType("DataCentre", str)
 ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
 TicketNumber = NewType("TicketNumber", int)
 Version = NewType("Version", int)
 CallId = NewType("CallId", str)
@@ -16,6 +17,26 @@
 WriterMark = NewType("WriterMark", str)
 ETag = NewType("ETag", str)
 
+
+class Endpoint(NamedTuple):
+    """Name an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the endpoint as HOST:PORT."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Return the endpoint that `text` writes as HOST:PORT, or raise `ValueError`."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{text!r} isn't HOST:PORT")
+    return Endpoint(host, int(port))
+
+
 # The version of a mesh in which no ticket has been accepted yet.
 NO_VERSION = Version(0)
 
