--- a/egretworks/config.py
+++ b/egretworks/config.py
@@ -11,7 +11,7 @@
 from msgspec import Meta
 
 from egretworks.exceptions import SettingsError
-from egretworks.resources import Name
+from egretworks.types import Name
 
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 PositiveMs = Annotated[int, Meta(ge=1, le=3_600_000)]
--- a/egretworks/resources.py
+++ b/egretworks/resources.py
@@ -8,9 +8,8 @@
 import xxhash
 from msgspec import Meta
 
-from egretworks.types import Repeat, WorkClass
+from egretworks.types import Name, Repeat, WorkClass
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Percent = Annotated[int, Meta(ge=0, le=100)]
 TimeoutMs = Annotated[int, Meta(ge=1, le=600_000)]
 
--- a/egretworks/types.py
+++ b/egretworks/types.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import NamedTuple, NewType, Protocol
+from typing import Annotated, NamedTuple, NewType, Protocol
+
+from msgspec import Meta
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 
 InstanceId = NewType("InstanceId", str)
 TargetId = NewType("TargetId", str)
