Break off an exchange on a new connection through its stream

Cause: what TargetLink.send returned for a new connection stayed the function that gives up connecting. Called once the connection was there, it closed the socket behind its stream's back; the next socket with that descriptor found the old listener in the hub, which raised and dropped the descriptor, here that of the call port. Ruled out: a stop of the process (it answered its readiness checks), the backlog. Before: the new test fails.

--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -193,7 +193,9 @@
         )
 
     def give_up(self) -> None:
-        """Drop the attempt."""
+        """Drop the attempt, unless it has ended."""
+        if self._done is None:
+            return
         self._done = None
         self._release()
         self._sock.close()
--- a/egretworks/targetlink.py
+++ b/egretworks/targetlink.py
@@ -96,15 +96,22 @@
     def __init__(self, link: TargetLink, exchange: Exchange) -> None:
         self._link = link
         self._exchange = exchange
-        self.break_off = connect(link.endpoint, CONNECT_TIMEOUT_MS, self._on_connected)
+        self._connection: _Connection | None = None
+        self._give_up = connect(link.endpoint, CONNECT_TIMEOUT_MS, self._on_connected)
+
+    def break_off(self) -> None:
+        """Give up the attempt to connect, or break off the exchange that has begun."""
+        if self._connection is None:
+            self._give_up()
+        else:
+            self._connection.break_off()
 
     def _on_connected(self, stream: Stream | None) -> None:
         if stream is None:
             self._exchange.done(ExchangeFailure.NO_CONNECTION)
             return
-        connection = _Connection(self._link, stream)
-        self.break_off = connection.break_off
-        connection.begin(self._exchange)
+        self._connection = _Connection(self._link, stream)
+        self._connection.begin(self._exchange)
 
 
 class _Connection:
@@ -127,8 +134,9 @@
 
     def break_off(self) -> None:
         """Close the connection, which makes the target stop its work."""
-        self._clear()
-        self.stream.close()
+        if self._exchange is not None:
+            self._clear()
+            self.stream.close()
 
     def on_data(self, data: bytes) -> None:
         if self._exchange is None:
--- /dev/null
+++ b/tests/test_targetlink.py
@@ -0,0 +1,206 @@
+"""Prove what the connections to a target do with answers of every kind."""
+
+import socket
+import struct
+import time
+
+from egretworks.clock import SystemClock
+from egretworks.httpwire import Response
+from egretworks.targetlink import Exchange, ExchangeFailure, TargetLink
+from egretworks.types import Endpoint
+from hubtools import RawServer, rest, run_hub
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def whole(body, *headers, id=b"a1"):
+    lines = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body), b"X-Id: " + id, *headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def read_request(sock):
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        received = sock.recv(65_536)
+        if not received:
+            raise OSError("closed")
+        data += received
+    return data
+
+
+def answering(*answers, end=None):
+    """Return a talk that sends one of `answers` for each request, then runs `end`."""
+
+    def talk(sock):
+        for answer in answers:
+            read_request(sock)
+            sock.sendall(answer)
+        if end is None:
+            sock.recv(1)
+        else:
+            end(sock)
+
+    return talk
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def read_until_closed(sock):
+    while sock.recv(1_000):
+        pass
+
+
+def link_to(server):
+    return TargetLink(Endpoint("127.0.0.1", server.port), SystemClock(), 1_000_000)
+
+
+def send(link, timeout_ms=1_000, method="GET", data=REQUEST, id="a1"):
+    outcomes = []
+    belongs = lambda response: response.header(b"x-id") in ("", id)  # noqa: E731
+    stop = link.send(Exchange(method, data, timeout_ms, belongs, outcomes.append))
+    return outcomes, stop
+
+
+def outcome_of(talk, **options):
+    outcomes, _ = send(link_to(RawServer(talk)), **options)
+    run_hub(lambda: outcomes)
+    return outcomes[0]
+
+
+def test_a_connection_is_kept_for_the_next_exchange():
+    server = RawServer(answering(whole(b"one"), whole(b"two")))
+    link = link_to(server)
+    for body in (b"one", b"two"):
+        outcomes, _ = send(link)
+        run_hub(lambda got=outcomes: got)
+        assert outcomes[0].body == body
+    assert server.accepted == 1
+
+
+def test_breaking_off_an_exchange_on_a_new_connection_leaves_the_hub_clean():
+    # What `send` returned closed the socket behind its stream's back once it was connected; the
+    # next socket with the same descriptor then found a listener there and broke the process.
+    server = RawServer(answering(end=read_until_closed))
+    link = link_to(server)
+    outcomes, stop = send(link)
+    run_hub(lambda: server.accepted == 1)
+    rest(30)
+    stop()
+    run_hub(lambda: server.ended == 1)
+    again = RawServer(answering(whole(b"fine")))
+    for _ in range(5):
+        got, _ = send(link_to(again))
+        run_hub(lambda got=got: got)
+        assert got[0].body == b"fine"
+    assert outcomes == []
+
+
+def test_breaking_off_after_the_end_leaves_the_kept_connection_alone():
+    server = RawServer(answering(whole(b"one"), whole(b"two")))
+    link = link_to(server)
+    outcomes, stop = send(link)
+    run_hub(lambda: outcomes)
+    stop()
+    outcomes, _ = send(link)
+    run_hub(lambda: outcomes)
+    assert (outcomes[0].body, server.accepted) == (b"two", 1)
+
+
+def test_a_port_without_listener_is_no_connection():
+    server = RawServer(answering())
+    server.close()
+    outcomes, _ = send(link_to(server))
+    run_hub(lambda: outcomes)
+    assert outcomes == [ExchangeFailure.NO_CONNECTION]
+
+
+def test_an_answer_cut_short_is_broken():
+    cut = whole(b"whole body")[:-3]
+    assert outcome_of(answering(cut, end=lambda sock: None)) is ExchangeFailure.BROKEN
+
+
+def test_bytes_that_are_no_answer_are_broken():
+    assert outcome_of(answering(b"what?\r\n\r\n")) is ExchangeFailure.BROKEN
+
+
+def test_silence_times_out():
+    assert outcome_of(answering(b""), timeout_ms=80) is ExchangeFailure.TIMED_OUT
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    unframed = b"HTTP/1.1 200 OK\r\nX-Id: a1\r\n\r\nall of it"
+    outcome = outcome_of(answering(unframed, end=lambda sock: None))
+    assert isinstance(outcome, Response)
+    assert outcome.body == b"all of it"
+
+
+def test_an_answer_without_length_that_is_reset_is_broken():
+    unframed = b"HTTP/1.1 200 OK\r\nX-Id: a1\r\n\r\nnot all"
+
+    def end(sock):
+        time.sleep(0.05)
+        reset(sock)
+
+    assert outcome_of(answering(unframed, end=end)) is ExchangeFailure.BROKEN
+
+
+def test_an_earlier_requests_late_answer_is_skipped():
+    late = whole(b"another's", id=b"z9")
+    outcome = outcome_of(answering(late + whole(b"own")))
+    assert outcome.body == b"own"
+    assert not outcome.keep_alive
+
+
+def test_an_extra_answer_ends_the_connection():
+    server = RawServer(answering(whole(b"one") + whole(b"extra"), whole(b"two")))
+    link = link_to(server)
+    for _ in range(2):
+        outcomes, _ = send(link)
+        run_hub(lambda got=outcomes: got)
+        assert outcomes[0].body == b"one"
+    assert server.accepted == 2
+
+
+def test_bytes_on_an_idle_connection_end_it():
+    def end(sock):
+        time.sleep(0.05)
+        sock.sendall(whole(b"late extra"))
+        sock.recv(1)
+
+    server = RawServer(answering(whole(b"one"), end=end))
+    link = link_to(server)
+    outcomes, _ = send(link)
+    run_hub(lambda: outcomes)
+    rest(120)
+    outcomes, _ = send(link)
+    run_hub(lambda: outcomes)
+    assert (outcomes[0].body, server.accepted) == (b"one", 2)
+
+
+def test_a_connection_isnt_used_near_the_end_of_its_stated_life():
+    server = RawServer(answering(whole(b"one", b"Keep-Alive: timeout=1"), whole(b"two")))
+    link = link_to(server)
+    outcomes, _ = send(link)
+    run_hub(lambda: outcomes)
+    rest(450)
+    outcomes, _ = send(link)
+    run_hub(lambda: outcomes)
+    assert server.accepted == 2
+
+
+def test_an_answer_before_the_whole_request_is_taken_and_ends_the_connection():
+    def talk(sock):
+        sock.recv(100)
+        sock.sendall(whole(b"early"))
+        time.sleep(0.2)
+
+    server = RawServer(talk)
+    link = link_to(server)
+    size = 20_000_000
+    data = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
+    outcomes, _ = send(link, method="POST", data=data)
+    run_hub(lambda: outcomes)
+    assert outcomes[0].body == b"early"
+    assert link._idle == []
