--- a/tests/test_targetlink.py
+++ b/tests/test_targetlink.py
@@ -4,11 +4,12 @@
 import struct
 import time
 
+from hubtools import RawServer, rest, run_hub
+
 from egretworks.clock import SystemClock
 from egretworks.httpwire import Response
 from egretworks.targetlink import Exchange, ExchangeFailure, TargetLink
 from egretworks.types import Endpoint
-from hubtools import RawServer, rest, run_hub
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
