Let one daemon a data centre read the store for its neighbours

Change: every daemon reads the configuration once at its start; then the first reachable one of each data centre watches it and passes new versions to its neighbours, and pings, sent once a second, tell everyone's version for repair. Rows are no longer watched: a daemon writes its own, lists the others, and links spread what changes.

--- a/egretworks/links.py
+++ b/egretworks/links.py
@@ -38,9 +38,10 @@
 from egretworks.types import InstanceId
 
 CONNECT_TIMEOUT_MS = 600
-# A link that has been silent this long with offers out, or without, is asked for a sign of life.
+# A link that has been silent this long with offers out is asked for a sign of life.
 BUSY_PING_MS = 150
-IDLE_PING_MS = 1_000
+# Every link is asked this often; the answer also tells which configuration the peer has.
+PING_MS = 1_000
 # A daemon that leaves a ping unanswered this long gets no offers if another can have them.
 SUSPECT_MS = 300
 # And its link is given up after this time, since connections may go silent for good.
@@ -66,6 +67,8 @@
     gate: Gate
     # Called with rows that are news.
     on_news: Callable[[list[DaemonRow]], None]
+    # Called when the own row had to change.
+    on_own_change: Callable[[DaemonRow], None]
 
     def hello(self) -> Hello:
         """Return what opens a link."""
@@ -73,9 +76,12 @@
 
     def learn(self, rows: list[DaemonRow]) -> None:
         """Take in rows from a peer."""
+        own = self.rows.own
         news = self.rows.merge(rows)
         if news:
             self.on_news(news)
+        if self.rows.own is not own:
+            self.on_own_change(self.rows.own)
 
 
 class LocalPlace:
@@ -116,6 +122,7 @@
         self._load_of_others = 0
         self._heard_at = Millis(0)
         self._pinged_at: Millis | None = None
+        self._last_ping = Millis(0)
         self._try_at = Millis(0)
         self._failures = 0
 
@@ -167,12 +174,14 @@
         if self._pinged_at is not None:
             if now - self._pinged_at > BROKEN_MS:
                 self._break("it left a ping unanswered")
-            return
-        silent_ms = now - self._heard_at
-        if silent_ms > (BUSY_PING_MS if self._reply_by_serial else IDLE_PING_MS):
-            self._pinged_at = now
-            if self._ready:
-                self._send(Ping(self._host.config.version))
+        elif self._ready and self._needs_ping(now):
+            self._pinged_at = self._last_ping = now
+            self._send(Ping(self._host.config.version))
+
+    def _needs_ping(self, now: Millis) -> bool:
+        """Return whether the peer is silent, or hasn't told its version for a while."""
+        silent = bool(self._reply_by_serial) and now - self._heard_at > BUSY_PING_MS
+        return silent or now - self._last_ping > PING_MS
 
     def reconnect_soon(self) -> None:
         """Try to connect without waiting longer, as there is news of the peer."""
--- a/egretworks/rows.py
+++ b/egretworks/rows.py
@@ -33,6 +33,8 @@
     serial: int
     # The daemon is about to stop.
     leaving: bool = False
+    # The daemon can read the platform's store.
+    reads_store: bool = True
     target: TargetRow | None = None
 
     @property
@@ -45,6 +47,21 @@
         return (self.incarnation, self.serial) > (other.incarnation, other.serial)
 
 
+def watches_store(own: DaemonRow, reachable: Iterable[DaemonRow]) -> bool:
+    """Return whether `own` is the daemon that reads the configuration for its data centre.
+
+    `reachable` are the rows of the other daemons that it has links to. Two that both think so do
+    no harm.
+    """
+    if not own.reads_store or own.leaving:
+        return False
+    return not any(
+        row.id < own.id
+        for row in reachable
+        if row.data_centre == own.data_centre and row.reads_store and not row.leaving
+    )
+
+
 class RowTable:
     """Hold the newest row of each daemon."""
 
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -25,17 +25,8 @@
 from egretworks.linkframes import Rows
 from egretworks.links import LinkHost, LocalPlace, PeerLink, ServedLink
 from egretworks.metrics import Metrics
-from egretworks.rows import DaemonRow, RowTable
-from egretworks.storekeeper import (
-    CONFIG_KIND,
-    CONFIG_NAME,
-    ROW_KIND,
-    Follower,
-    RowKeeper,
-    Store,
-    Stored,
-    decode_row,
-)
+from egretworks.rows import DaemonRow, RowTable, watches_store
+from egretworks.storekeeper import CONFIG_NAME, ConfigWatch, RowKeeper, Store, Stored
 from egretworks.streams import Listener, Stream, after
 from egretworks.timeline import Timeline
 from egretworks.types import DataCentre, Endpoint, InstanceId, ServiceName, parse_endpoint
@@ -104,11 +95,11 @@
             self._config,
             self._gate,
             self._on_news,
+            self._publish,
         )
         self._links_by_id: dict[InstanceId, PeerLink] = {}
         self._served: set[ServedLink] = set()
         self._forwarder = Forwarder(self._forward_host())
-        self._row_keeper: RowKeeper | None = None
         self._open_ports()
 
     def run(self) -> None:
@@ -225,14 +216,12 @@
         self._publish(self._rows.change_own(target=self._gate.row()))
 
     def _publish(self, row: DaemonRow) -> None:
-        """Tell the other daemons and the store of the changed own row."""
+        """Tell the other daemons of the changed own row."""
         frame = Rows([row])
         for link in self._links_by_id.values():
             link.tell(frame)
         for served in self._served:
             served.tell(frame)
-        if self._row_keeper is not None:
-            self._row_keeper.wake()
 
     def _on_news(self, rows: list[DaemonRow]) -> None:
         for row in rows:
@@ -259,40 +248,41 @@
 
     def _follow_store(self) -> None:
         store = self._connect_store(self._settings.platform.address)
-        followers = (
-            Follower(store, CONFIG_KIND, self._take_configs, self._timeline, self._random),
-            Follower(store, ROW_KIND, self._take_rows, self._timeline, self._random),
+        rows = RowKeeper(
+            store, lambda: self._rows.own, self._link_host.learn, self._timeline, self._random
         )
-        for follower in followers:
-            eventlet.spawn_n(follower.run)
-        self._row_keeper = RowKeeper(
+        watch = ConfigWatch(
             store,
-            lambda: self._rows.own,
-            lambda row: self._link_host.learn([row]),
+            self._take_configs,
+            self._watches_store,
+            self._on_store_reachable,
             self._timeline,
             self._random,
         )
-        self._row_keeper.run()
+        eventlet.spawn_n(watch.run)
+        rows.run()
+
+    def _watches_store(self) -> bool:
+        now = self._clock.now()
+        links = self._links_by_id.values()
+        return watches_store(
+            self._rows.own,
+            [link.row for link in links if link.usable and not link.prospect(now).suspect],
+        )
+
+    def _on_store_reachable(self, reachable: bool) -> None:
+        self._publish(self._rows.change_own(reads_store=reachable))
 
     def _take_configs(self, objects: tuple[Stored, ...]) -> None:
-        """Put the newest valid version of a batch into force."""
+        """Put the newest valid version of a batch into force, and pass it on nearby."""
         for stored in reversed(objects):
             usable = stored.name == CONFIG_NAME and not stored.deleted
             if usable and self._config.take(stored.document, f"store revision {stored.revision}"):
+                for link in self._links_by_id.values():
+                    if link.near:
+                        self._config.answer(link)
                 return
 
-    def _take_rows(self, objects: tuple[Stored, ...]) -> None:
-        rows = []
-        for stored in objects:
-            row = None if stored.deleted else decode_row(stored.document)
-            if row is not None and row.id == stored.name:
-                rows.append(row)
-            else:
-                self._timeline.record(
-                    "row_ignored", target=stored.name, detail=f"deleted={stored.deleted}"
-                )
-        self._link_host.learn(rows)
-
     def _poll_settings(self) -> None:
         """Read the settings again when their file changes."""
         changed_at = self._path.stat().st_mtime_ns
