Take an answer only if it names its request

Ruled out: mixing on the link between daemons (the serials belong to one link and the target's own id was checked).

--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -311,8 +311,8 @@
             self._gate.free_slot(self._queue)
 
     def _belongs(self, response: Response) -> bool:
-        id = self._host.edge.read_marks(response).id
-        return not id or id == self._offer.call
+        # An answer that names no request may be another's.
+        return self._host.edge.read_marks(response).id == self._offer.call
 
     def _on_done(self, outcome: Response | ExchangeFailure) -> None:
         gate = self._gate
