Keep an extra answer's headers out of the answer before it

Cause: ResponseReader went on to collect headers into the list that it had handed out with the answer. Ruled out: crossing on the link, reuse of a connection with an answer outstanding.

--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -262,12 +262,13 @@
             body=b"".join(self._body),
             keep_alive=keep_alive and not self._skipped,
         )
+        # An extra answer's headers must not be added to this one's.
+        self._headers = []
         if self._belongs(response):
             self.response = response
             return
         # A late answer to an earlier request; the connection isn't used after this one.
         self._skipped = True
-        self._headers = []
         self._body = []
         self._body_bytes = 0
 
--- a/tests/test_targetlink.py
+++ b/tests/test_targetlink.py
@@ -164,6 +164,12 @@
     assert server.accepted == 2
 
 
+def test_an_extra_answers_headers_stay_out_of_the_answer():
+    extra = whole(b"ok", b"X-Stamp: other's")
+    outcome = outcome_of(answering(whole(b"one", b"X-Stamp: own") + extra))
+    assert [value for name, value in outcome.headers if name == b"X-Stamp"] == [b"own"]
+
+
 def test_bytes_on_an_idle_connection_end_it():
     def end(sock):
         time.sleep(0.05)
