--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -130,7 +130,7 @@
         rank = self._rank(entry, now)
         ahead_ms = self.work.mean
         for waiting in self._waiting:
-            if self._rank(waiting, now) < rank:
+            if self._rank(waiting, now) <= rank:
                 ahead_ms += self.work.of(waiting.route)
         return ahead_ms / max(1, self.slots)
 
--- /dev/null
+++ b/tests/platformwire.py
@@ -0,0 +1,70 @@
+"""Bring the adapter's modules in, and write what the platform's operator and targets say."""
+
+import json
+import sys
+from pathlib import Path
+
+ADAPTER = Path(__file__).parent.parent / "platform"
+# Behind everything else, as when the daemon runs.
+sys.path.append(str(ADAPTER))
+
+COLUMNS = (
+    "name",
+    "host",
+    "pathPrefix",
+    "kind",
+    "timeoutMs",
+    "targetLatencyMs",
+    "priority",
+    "service",
+    "maxAttempts",
+    "trafficSplit",
+)
+
+
+def edge():
+    """Return the adapter's translation."""
+    from edgewire import PlatformEdge
+
+    return PlatformEdge()
+
+
+def config_document(version, routes=None, services=("ledger", "portal")):
+    """Return a configuration as the operator writes it."""
+    rows = routes or [
+        ["give", "pool.example", "/give/", "non_idempotent", 1200, 300, 0, "ledger", 2, None],
+        ["view", "pool.example", "/view/", "idempotent", 1000, 500, 2, "portal", 2, None],
+    ]
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "routes": {"columns": COLUMNS, "rows": rows},
+            "services": {
+                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
+                "rows": [[name, "/health", 130, "h1", False] for name in services],
+            },
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 67108864,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+        }
+    ).encode()
+
+
+def heartbeat_body(address, service="ledger", state="ready", sequence=1, born=1_000, slots=12):
+    """Return a heartbeat as a target sends it."""
+    return json.dumps(
+        {
+            "address": address,
+            "born": born,
+            "info": {
+                "service": service,
+                "version": "v1",
+                "zone": "dc",
+                "maxConcurrency": slots,
+            },
+            "status": {"phase": state, "sequence": sequence, "coldLeftMs": 0},
+        }
+    ).encode()
--- /dev/null
+++ b/tests/test_gatequeue.py
@@ -0,0 +1,122 @@
+"""Prove the order and the early refusals at a target's gate, with a state machine over all."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from egretworks.gatequeue import GateQueue, QueueEntry
+
+
+def entry(priority=1, arrived=0.0, objective=500.0, expires=1_000.0, route="r"):
+    return QueueEntry(route, priority, arrived, objective, expires)
+
+
+def busy_queue(slots=2, work_ms=100.0):
+    queue = GateQueue(slots)
+    for _ in range(20):
+        queue.work.note("r", work_ms)
+    for _ in range(slots):
+        assert queue.enter(entry(), 0.0).run
+    return queue
+
+
+def test_requests_run_at_once_up_to_the_slots():
+    queue = busy_queue(slots=3)
+    assert queue.running == 3
+    assert queue.enter(entry(), 0.0).wait
+
+
+def test_the_more_urgent_goes_first_then_the_earlier():
+    queue = busy_queue()
+    late_comer = entry(priority=0, arrived=2.0)
+    waiting = [entry(priority=2), entry(priority=1, arrived=1.0), entry(priority=1), late_comer]
+    for one in waiting:
+        assert queue.enter(one, 2.0).wait
+    order = []
+    for _ in waiting:
+        queue.leave()
+        order.append(queue.admit(3.0))
+    assert order == [late_comer, waiting[2], waiting[1], waiting[0]]
+
+
+def test_what_can_make_its_objective_goes_before_what_cannot():
+    queue = busy_queue()
+    hopeless, fresh = entry(objective=155.0), entry(arrived=1.0)
+    assert queue.enter(hopeless, 0.0).wait
+    assert queue.enter(fresh, 1.0).wait
+    queue.leave()
+    assert queue.admit(60.0) is fresh
+
+
+def test_a_request_that_would_wait_past_its_objective_is_refused_with_a_time_to_come_back():
+    queue = busy_queue(slots=1)
+    verdicts = [queue.enter(entry(), 0.0) for _ in range(8)]
+    refused = [verdict for verdict in verdicts if not verdict.wait]
+    assert 0 < len(refused) < 8
+    assert refused[0].room_in_ms > 0
+
+
+def test_a_request_that_cant_be_answered_any_more_is_given_up():
+    queue = busy_queue()
+    doomed = entry(objective=100.0, expires=200.0)
+    queue._waiting.append(doomed)
+    assert queue.give_up(100.0) == []
+    assert queue.give_up(180.0) == [doomed]
+
+
+class GateMachine(RuleBasedStateMachine):
+    """Enter, withdraw, end and give up requests in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.queue = GateQueue(3)
+        self.running = 0
+        self.waiting = []
+
+    @rule(priority=st.integers(0, 2), objective=st.floats(1, 800), more=st.floats(1, 800))
+    def enter(self, priority, objective, more):
+        one = entry(priority, self.now, self.now + objective, self.now + objective + more)
+        verdict = self.queue.enter(one, self.now)
+        assert verdict.run + verdict.wait <= 1
+        if verdict.run:
+            self.running += 1
+        elif verdict.wait:
+            self.waiting.append(one)
+        else:
+            assert verdict.room_in_ms >= 0
+
+    @precondition(lambda self: self.running)
+    @rule(took=st.floats(1, 400))
+    def end(self, took):
+        self.queue.work.note("r", took)
+        self.queue.leave()
+        self.running -= 1
+        admitted = self.queue.admit(self.now)
+        assert (admitted is not None) == bool(self.waiting)
+        if admitted is not None:
+            assert admitted.priority == min(one.priority for one in self.waiting)
+            self.waiting.remove(admitted)
+            self.running += 1
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def withdraw(self, data):
+        one = data.draw(st.sampled_from(self.waiting))
+        assert self.queue.withdraw(one)
+        assert not self.queue.withdraw(one)
+        self.waiting.remove(one)
+
+    @rule(ms=st.floats(0, 300))
+    def pass_time(self, ms):
+        self.now += ms
+        for one in self.queue.give_up(self.now):
+            self.waiting.remove(one)
+
+    @invariant()
+    def counts_agree(self):
+        assert self.queue.running == self.running <= 3
+        assert self.queue.load == self.running + len(self.waiting)
+        assert not self.waiting or self.running == 3
+
+
+TestGateMachine = GateMachine.TestCase
--- /dev/null
+++ b/tests/test_picking.py
@@ -0,0 +1,47 @@
+"""Prove which target a caller chooses."""
+
+import random
+
+import msgspec
+
+from egretworks.picking import Prospect, pick
+
+FREE = Prospect(load=0, slots=10, work_ms=100.0, failing_percent=0, near=True, suspect=False)
+
+
+def chosen(*prospects, tries=200):
+    source = random.Random(4)
+    return {pick(prospects, source) for _ in range(tries)}
+
+
+def changed(**changes):
+    return msgspec.structs.replace(FREE, **changes)
+
+
+def test_there_may_be_none():
+    assert pick([], random.Random(1)) is None
+
+
+def test_targets_alike_share_the_requests():
+    assert chosen(FREE, FREE, FREE) == {0, 1, 2}
+
+
+def test_a_full_target_is_left_for_a_free_one_far_away():
+    assert chosen(changed(load=20), changed(near=False)) == {1}
+
+
+def test_a_near_target_is_preferred_while_it_has_room():
+    assert chosen(changed(near=False), changed(load=3)) == {1}
+
+
+def test_a_slow_target_is_left_for_a_fast_one():
+    assert chosen(changed(work_ms=300.0), FREE) == {1}
+
+
+def test_a_failing_target_is_avoided():
+    assert chosen(changed(failing_percent=50), FREE) == {1}
+
+
+def test_a_suspect_daemon_is_the_last_choice():
+    assert chosen(changed(suspect=True), changed(load=50, near=False)) == {1}
+    assert chosen(changed(suspect=True)) == {0}
