Prove the path over two daemons with real processes

The stand-in of the platform learns the users' object API over the objects that it has; tests/sidecars.py runs meshd as processes with targets and callers of its own. 23 tests: whole answers, truth of refusals, slots, drain, restart, peers without the store, configuration spread by one reader a data centre, SIGTERM, SIGHUP, cancellation, smuggling.

--- a/examples/standins/platform.py
+++ b/examples/standins/platform.py
@@ -1,5 +1,8 @@
 """Stand in for the platform's object API: versions, conditional updates and watches.
 
+Below /v1 it answers as egretd's own client asks, below /objects as the users' platform does. Both
+show the same objects.
+
 `python -m standins.platform PORT` serves it on loopback. `GET /admin/counts` returns the reads
 and writes so far; `PUT /admin/faults` sets delays, outages and lost answers.
 """
@@ -23,6 +26,7 @@
 
 MAX_VALUE_BYTES = 1_000_000
 HISTORY_LENGTH = 10_000
+USERS_PAGE = 500
 
 
 class Platform:
@@ -36,6 +40,7 @@
         self.waiters: list[eventlet.event.Event] = []
         self.counts = {"reads": 0, "writes": 0, "watches": 0}
         self.faults = {"delay_ms": 0, "outage": False, "lose_answers": 0, "stale": False}
+        self.faults["silent"] = False
         self.saved = ({}, [], 0)
 
     def __call__(self, environ, start):
@@ -48,6 +53,10 @@
             eventlet.sleep(self.faults["delay_ms"] / 1000)
         if self.faults["outage"]:
             return reply(start, "503 Service Unavailable")
+        if self.faults["silent"]:
+            eventlet.sleep(3_600)
+        if parts[0] == "objects":
+            return self.users_api(environ, start, method, parts[1:], query)
         if parts[1] == "watch":
             return self.watch(start, parts[2], query)
         if len(parts) == 3:
@@ -122,6 +131,77 @@
             return reply(start, "503 Service Unavailable")
         return reply(start, "200 OK", b"", self.position)
 
+    def users_api(self, environ, start, method, parts, query):
+        """Answer as the users' platform does: objects by kind and name, each with its `rev`."""
+        if method == "GET":
+            self.counts["reads"] += 1
+            if "watch" in query:
+                return self.users_watch(start, parts[0], query)
+            if len(parts) == 2:
+                return self.users_object(start, parts[0], parts[1], "200 OK")
+            return self.users_list(start, parts[0], query)
+        self.counts["writes"] += 1
+        body = json.loads(environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0)))
+        name = parts[1] if len(parts) == 2 else body["metadata"]["name"]
+        current = self.objects.get((parts[0], name))
+        wanted = body["metadata"].get("rev")
+        if method == "PUT" and current is None:
+            return reply(start, "404 Not Found")
+        if current is not None and (method == "POST" or wanted not in (None, current[0])):
+            return self.users_object(start, parts[0], name, "409 Conflict")
+        value = json.dumps(body["spec"]).encode()
+        if current is None or current[1] != value:
+            self.store((parts[0], name), value)
+        if self.faults["lose_answers"]:
+            self.faults["lose_answers"] -= 1
+            eventlet.sleep(3_600)
+        return self.users_object(start, parts[0], name, "200 OK")
+
+    def store(self, key, value):
+        """Store `value` at the next position and wake the watches."""
+        self.position += 1
+        self.objects[key] = (self.position, value)
+        self.history.append((self.position, *key, value))
+        self.trim()
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.send()
+
+    def users_object(self, start, kind, name, status):
+        if (kind, name) not in self.objects:
+            return reply(start, "404 Not Found")
+        return reply(
+            start, status, json.dumps(users_view(name, *self.objects[kind, name])).encode()
+        )
+
+    def users_list(self, start, kind, query):
+        after = query.get("after", "")
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [users_view(name, *self.objects[kind, name]) for name in names[:USERS_PAGE]]
+        page = {"items": items, "hasMore": len(names) > USERS_PAGE, "atRev": self.position}
+        return reply(start, "200 OK", json.dumps(page).encode())
+
+    def users_watch(self, start, kind, query):
+        self.counts["watches"] += 1
+        after = int(query["watch"])
+        until = time.monotonic() + int(query.get("waitMs", 30_000)) / 1000
+        if after < self.compacted:
+            return reply(start, "410 Gone")
+        while True:
+            events = [
+                {"object": users_view(n, p, v), "deleted": False}
+                for p, k, n, v in self.history
+                if p > after and k == kind and v is not None
+            ]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                body = json.dumps({"atRev": self.position, "events": events}).encode()
+                return reply(start, "200 OK", body)
+            waiter = eventlet.event.Event()
+            self.waiters.append(waiter)
+            with eventlet.Timeout(left, False):
+                waiter.wait()
+
     def trim(self):
         if len(self.history) > HISTORY_LENGTH:
             self.compacted = self.history[0][0]
@@ -154,6 +234,18 @@
                 waiter.wait()
 
 
+def users_view(name, revision, value):
+    """Return an object as the users' platform shows it."""
+    metadata = {
+        "name": name,
+        "rev": revision,
+        "createdAt": 0,
+        "finalizers": [],
+        "deletionPending": False,
+    }
+    return {"metadata": metadata, "spec": json.loads(value), "status": None}
+
+
 def reply(start, status, body=b"", version=None):
     headers = [("Content-Length", str(len(body))), ("Content-Type", "application/json")]
     if version is not None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -83,7 +83,11 @@
         self.start()
 
     def start(self):
-        environment = {**os.environ, "PYTHONPATH": f"{ROOT}:{ROOT / 'examples'}"}
+        environment = {
+            **os.environ,
+            "PYTHONPATH": f"{ROOT}:{ROOT / 'examples'}",
+            **self.environment(),
+        }
         with open(self.log, "ab") as stream:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.arguments],
@@ -93,6 +97,10 @@
                 cwd=ROOT,
             )
 
+    def environment(self):
+        """Return what the program's environment has besides."""
+        return {}
+
     def signal(self, number):
         self.popen.send_signal(number)
 
@@ -123,6 +131,12 @@
     def counts(self):
         return ask_json(self.port, "/admin/counts")
 
+    def configure(self, document):
+        """Write the mesh's configuration as the users' operator does."""
+        body = json.dumps({"metadata": {"name": "main"}, "spec": json.loads(document)})
+        if ask(self.port, "PUT", "/objects/config/main", body)[0] == 404:
+            assert ask(self.port, "POST", "/objects/config", body)[0] == 200
+
     def object(self, kind, name):
         """Return the value of an object, as text."""
         return ask(self.port, "GET", f"/v1/objects/{kind}/{name}")[2].decode()
--- /dev/null
+++ b/tests/sidecars.py
@@ -0,0 +1,194 @@
+"""Run the daemons of the users' platform as processes, with targets and callers of their own."""
+
+import socket
+import threading
+import time
+
+from platformwire import heartbeat_body
+from processes import Process, ask, free_port, wait_for
+
+SETTINGS = """
+[instance]
+id = "{id}"
+data_centre = "{data_centre}"
+host = "127.0.0.1"
+service = "{service}"
+
+[listen]
+calls = "127.0.0.1:{calls}"
+ready = "127.0.0.1:{ready}"
+announcements = "127.0.0.1:{announcements}"
+link_port = {links}
+metrics_port = {metrics}
+
+[platform]
+address = "127.0.0.1:{store}"
+
+[bounds]
+drain_ms = 2000
+grace_ms = 6000
+retry_ratio = 0.2
+retry_window_ms = 10000
+retry_slack = 60
+"""
+
+
+class Target:
+    """Run requests beside a daemon and count each run; `answer` may be changed at any time."""
+
+    def __init__(self, service, work_ms=5, slots=4):
+        self.service = service
+        self.work_ms = work_ms
+        self.slots = slots
+        self.id = f"i-{service}-{free_port()}"
+        self.born = int(time.time() * 1_000)
+        self.sequence = 0
+        self.healthy = True
+        self.runs = []
+        self.headers = []
+        self.at_work = 0
+        self.most_at_work = 0
+        self.left_early = 0
+        self.answer = lambda id, body: self.whole(id, body)
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def whole(self, id, body, status="200 OK", stamp="s"):
+        """Return a whole answer, signed unless `stamp` is empty."""
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", f"X-Egret-Attempt-Id: {id}"]
+        if stamp:
+            lines.append(f"X-Egret-Stamp: {stamp}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def heartbeat(self, daemon, state="ready", **changes):
+        """Send one heartbeat and return the status of its acknowledgement."""
+        self.sequence += 1
+        body = heartbeat_body(
+            f"127.0.0.1:{self.port}",
+            self.service,
+            state,
+            changes.get("sequence", self.sequence),
+            changes.get("born", self.born),
+            self.slots,
+        )
+        path = f"/rpc?call=instances.heartbeat&of={self.id}"
+        return ask(daemon.ports["announcements"], "POST", path, body)[0]
+
+    def close(self):
+        """Refuse further connections."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        stream = sock.makefile("rb")
+        try:
+            while self._serve_one(sock, stream):
+                pass
+        except (OSError, ValueError):
+            pass
+        finally:
+            sock.close()
+
+    def _serve_one(self, sock, stream):
+        line = stream.readline().decode()
+        if not line:
+            return False
+        headers = {}
+        while (text := stream.readline().decode().strip()) != "":
+            name, _, value = text.partition(":")
+            headers[name.lower()] = value.strip()
+        body = stream.read(int(headers.get("content-length", 0)))
+        if line.split()[1] == "/health":
+            status = "200 OK" if self.healthy else "503 Service Unavailable"
+            head = f"HTTP/1.1 {status}\r\nX-Egret-Instance: {self.id}\r\nContent-Length: 0\r\n\r\n"
+            sock.sendall(head.encode())
+            return True
+        return self._run(sock, line, headers, body)
+
+    def _run(self, sock, line, headers, body):
+        id = headers.get("x-egret-attempt-id", "")
+        with self._lock:
+            self.runs.append(id)
+            self.headers.append(headers)
+            self.at_work += 1
+            self.most_at_work = max(self.most_at_work, self.at_work)
+        try:
+            until = time.monotonic() + self.work_ms / 1_000
+            sock.settimeout(0.005)
+            while time.monotonic() < until:
+                try:
+                    if sock.recv(1, socket.MSG_PEEK) == b"":
+                        self.left_early += 1
+                        return False
+                except TimeoutError:
+                    pass
+            sock.settimeout(None)
+        finally:
+            with self._lock:
+                self.at_work -= 1
+        answer = self.answer(id, line.encode() + body)
+        if answer is None:
+            return False
+        sock.sendall(answer)
+        return True
+
+
+class Sidecar(Process):
+    """Run one daemon of the users' platform."""
+
+    def __init__(self, folder, id, store_port, target, data_centre="dc"):
+        names = ("calls", "ready", "announcements", "links", "metrics")
+        self.id = id
+        self.target = target
+        self.ports = {name: free_port() for name in names}
+        self.settings = folder / f"{id}.toml"
+        self.settings.write_text(
+            SETTINGS.format(
+                id=id,
+                data_centre=data_centre,
+                service=target.service,
+                store=store_port,
+                **self.ports,
+            )
+        )
+        super().__init__(["platform/meshd.py"], folder / f"{id}.log")
+
+    def environment(self):
+        return {"EGRETWORKS_SETTINGS": str(self.settings)}
+
+    def ready(self):
+        """Return whether the daemon says that it is ready."""
+        try:
+            return ask(self.ports["ready"], "GET", "/readiness", timeout=2)[0] == 200
+        except OSError:
+            return False
+
+    def call(self, path, host="pool.example", id="a1", method="GET", left_ms=2_000, body=None):
+        """Send a caller's request and return its status, headers and body."""
+        headers = {"Host": host, "X-Egret-Attempt-Id": id, "X-Egret-Deadline-Ms": str(left_ms)}
+        return ask(self.ports["calls"], method, path, body=body, headers=headers)
+
+    def events(self, kind):
+        """Return the log lines of one kind."""
+        return [line for line in self.log.read_text().splitlines() if f'"kind": "{kind}"' in line]
+
+
+def serve(sidecars):
+    """Announce every target to its daemon and wait until all daemons reach all targets."""
+    links = len(sidecars) - 1
+    for sidecar in sidecars:
+        wait_for(sidecar.ready, f"{sidecar.id} to be ready")
+        assert sidecar.target.heartbeat(sidecar) == 200
+    for sidecar in sidecars:
+        wait_for(lambda one=sidecar: len(one.events("link_up")) >= links, f"{sidecar.id}'s links")
+    time.sleep(0.3)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,282 @@
+"""Prove the whole path on the users' platform with real processes: two daemons to a request."""
+
+import json
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from platformwire import config_document
+from processes import Platform, ask, wait_for
+from sidecars import Sidecar, Target, serve
+
+
+class SidecarMesh:
+    """Hold a store, daemons and their targets."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.platform = Platform(folder)
+        self.sidecars = []
+
+    def add(self, service, data_centre="dc", **options):
+        target = Target(service, **options)
+        id = f"n{len(self.sidecars)}"
+        self.sidecars.append(Sidecar(self.folder, id, self.platform.port, target, data_centre))
+        return self.sidecars[-1]
+
+    def start(self, *services, version=1):
+        self.platform.configure(config_document(version))
+        sidecars = [self.add(service) for service in services]
+        serve(sidecars)
+        return sidecars
+
+    def end(self):
+        for process in (*self.sidecars, self.platform):
+            process.end()
+
+
+@pytest.fixture
+def sidecars(tmp_path):
+    mesh = SidecarMesh(tmp_path)
+    yield mesh
+    mesh.end()
+
+
+def post_many(sidecar, count, path="/give/x", method="POST", left_ms=2_000):
+    """Send requests at the same time; return their statuses by id."""
+    statuses = {}
+
+    def one(id):
+        try:
+            statuses[id] = sidecar.call(path, id=id, method=method, left_ms=left_ms)[0]
+        except OSError as error:
+            statuses[id] = repr(error)
+
+    ids = [f"{sidecar.id}-{method}-{number}" for number in range(count)]
+    threads = [threading.Thread(target=one, args=(id,)) for id in ids]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+def test_a_request_reaches_another_daemons_target_and_the_answer_comes_back_unchanged(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    status, headers, body = portal.call("/give/x?y=1", method="PUT", body=b"gift")
+    assert (status, body) == (200, b"PUT /give/x?y=1 HTTP/1.1\r\ngift")
+    assert headers["X-Egret-Stamp"] == "s"
+    sent = ledger.target.headers[0]
+    assert sent["x-egret-caller"] == "portal"
+    assert sent["x-egret-expect-instance"] == ledger.target.id
+    assert 0 < int(sent["x-egret-deadline-ms"]) <= 1_200
+    assert portal.call("/none/x")[0] == 404
+
+
+def test_no_more_requests_run_than_the_target_has_slots(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.target.work_ms = 60
+    statuses = post_many(portal, 12)
+    assert set(statuses.values()) <= {200, 503}
+    assert ledger.target.most_at_work == ledger.target.slots
+
+
+def test_a_refused_request_never_runs_and_says_when_to_come_back(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.target.work_ms = 250
+    statuses = post_many(portal, 40)
+    refused = [id for id, status in statuses.items() if status == 503]
+    assert refused
+    assert not set(refused) & set(ledger.target.runs)
+    assert len(ledger.target.runs) == len(set(ledger.target.runs))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        lambda target: lambda id, body: None,
+        lambda target: lambda id, body: target.whole(id, body)[:-2],
+        lambda target: lambda id, body: target.whole(id, body, stamp=""),
+        lambda target: lambda id, body: b"nothing of the kind\r\n\r\n",
+        lambda target: lambda id, body: target.whole("another", body),
+    ],
+)
+def test_an_answer_that_isnt_whole_never_looks_so_and_nothing_runs_twice(sidecars, answer):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.target.answer = answer(ledger.target)
+    status, headers, _ = portal.call("/give/x", method="POST", left_ms=400)
+    assert status in (502, 504)
+    assert "X-Egret-Stamp" not in headers
+    assert len(ledger.target.runs) == 1
+
+
+def test_a_target_that_declines_is_left_for_another_and_the_request_runs_once(sidecars):
+    portal, one, two = sidecars.start("portal", "ledger", "ledger")
+
+    def decline(id, body):
+        return (
+            f"HTTP/1.1 503 Busy\r\nX-Egret-Not-Run: 1\r\nX-Egret-Attempt-Id: {id}\r\n"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+
+    one.target.answer = decline
+    for number in range(8):
+        assert portal.call("/give/x", method="POST", id=f"d{number}")[0] == 200
+    assert sorted(two.target.runs) == [f"d{number}" for number in range(8)]
+
+
+def test_an_idempotent_request_is_answered_by_another_target_after_a_failure(sidecars):
+    caller, one, _two = sidecars.start("ledger", "portal", "portal")
+    one.target.answer = lambda id, body: one.target.whole(id, b"", "500 Broken")
+    statuses = [caller.call("/view/x", id=f"v{number}")[0] for number in range(8)]
+    assert statuses == [200] * 8
+    assert one.target.runs
+
+
+def test_a_leaving_target_gets_nothing_after_its_acknowledgement(sidecars):
+    portal, one, _two = sidecars.start("portal", "ledger", "ledger")
+    assert one.target.heartbeat(one, "draining") == 200
+    time.sleep(0.1)
+    before = len(one.target.runs)
+    for number in range(10):
+        assert portal.call("/give/x", method="POST", id=f"l{number}")[0] == 200
+    assert len(one.target.runs) == before
+    # A heartbeat that was held up doesn't bring it back.
+    one.target.heartbeat(one, sequence=1)
+    assert portal.call("/give/x", method="POST", id="after")[0] == 200
+    assert len(one.target.runs) == before
+
+
+def test_a_killed_daemon_is_back_without_a_heartbeat_lost_and_asks_its_targets_health(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.kill()
+    ledger.start()
+    wait_for(ledger.ready, "the daemon to be ready again")
+    ledger.target.healthy = False
+    ledger.target.heartbeat(ledger)
+    assert portal.call("/give/x", method="POST", id="early")[0] == 503
+    ledger.target.healthy = True
+    ledger.target.heartbeat(ledger)
+
+    def served():
+        return portal.call("/give/x", method="POST", id=f"t{time.monotonic()}")[0] == 200
+
+    wait_for(served, "the target to be reached again")
+    assert "early" not in ledger.target.runs
+
+
+def test_a_new_version_is_in_force_everywhere_and_one_daemon_a_data_centre_reads_it(sidecars):
+    daemons = sidecars.start("portal", "ledger", "ledger")
+    time.sleep(0.5)
+    before = sidecars.platform.counts()["reads"]
+    rows = [["new", "pool.example", "/new/", "idempotent", 1000, 500, 0, "ledger", 2, None]]
+    sidecars.platform.configure(config_document(2, rows))
+    for daemon in daemons:
+        wait_for(lambda one=daemon: one.call("/new/x")[0] == 200, f"{daemon.id} to follow")
+        assert daemon.call("/give/x")[0] == 404
+    assert sidecars.platform.counts()["reads"] - before <= 4
+
+
+def test_a_broken_version_is_refused_whole(sidecars):
+    portal, _ = sidecars.start("portal", "ledger")
+    broken = json.loads(config_document(2))
+    broken["routes"]["rows"][0][7] = "nowhere"
+    sidecars.platform.configure(json.dumps(broken))
+    wait_for(lambda: portal.events("config_refused"), "the refusal")
+    assert portal.call("/give/x", method="POST")[0] == 200
+
+
+def test_a_daemon_that_starts_while_the_store_is_away_learns_from_its_peers(sidecars):
+    portal, _ledger = sidecars.start("portal", "ledger")
+    sidecars.platform.faults(outage=True)
+    portal.kill()
+    portal.start()
+    wait_for(portal.ready, "the daemon to be ready without the store")
+    wait_for(
+        lambda: portal.call("/give/x", method="POST", id=f"s{time.monotonic()}")[0] == 200,
+        "the other daemon's target to be reached",
+    )
+
+
+def test_without_a_configuration_a_request_is_refused_and_not_lost(sidecars):
+    lonely = sidecars.add("portal")
+    wait_for(lambda: lonely.events("started"), "the start")
+    status, headers, _ = lonely.call("/give/x", method="POST")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert not lonely.ready()
+
+
+def test_a_caller_that_leaves_stops_the_work(sidecars):
+    caller, portal = sidecars.start("ledger", "portal")
+    portal.target.work_ms = 900
+    sock = socket.create_connection(("127.0.0.1", caller.ports["calls"]))
+    sock.sendall(
+        b"GET /view/x HTTP/1.1\r\nHost: pool.example\r\nX-Egret-Attempt-Id: g\r\n"
+        b"X-Egret-Deadline-Ms: 2000\r\n\r\n"
+    )
+    wait_for(lambda: portal.target.runs, "the request to run")
+    sock.close()
+    wait_for(lambda: portal.target.left_early, "the target to be told", 0.5)
+
+
+def test_sigterm_cuts_no_request(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.target.work_ms = 400
+    results = {}
+
+    def send():
+        results.update(post_many(portal, 4))
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    wait_for(lambda: ledger.target.at_work, "work to begin")
+    ledger.signal(signal.SIGTERM)
+    portal.signal(signal.SIGTERM)
+    thread.join()
+    assert set(results.values()) == {200}
+    assert not portal.ready()
+    started = time.monotonic()
+    assert (portal.wait(), ledger.wait()) == (0, 0)
+    assert time.monotonic() - started < 6
+
+
+def test_changed_settings_are_taken_over_without_a_cut(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    text = portal.settings.read_text()
+    portal.settings.write_text(text.replace('service = "portal"', 'service = "renamed"'))
+    portal.signal(signal.SIGHUP)
+    wait_for(lambda: portal.events("settings_reloaded"), "the reload")
+    assert portal.call("/give/x", method="POST")[0] == 200
+    assert ledger.target.headers[-1]["x-egret-caller"] == "renamed"
+    portal.settings.write_text("nonsense")
+    wait_for(lambda: portal.events("settings_refused"), "the refusal")
+    assert portal.call("/give/x", method="POST", id="b")[0] == 200
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /give/x HTTP/1.1\r\nHost: pool.example\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /give/x HTTP/1.1\r\nHost: pool.example\r\nTransfer-Encoding: chunked\r\n\r\nxx\r\n",
+        b"POST /give/x HTTP/1.1\r\nHost: pool.example\r\nContent-Length: 1\r\n"
+        b"Content-Length: 2\r\n\r\nab",
+    ],
+)
+def test_what_could_smuggle_a_request_is_refused_before_anything_is_passed_on(sidecars, data):
+    portal, ledger = sidecars.start("portal", "ledger")
+    with socket.create_connection(("127.0.0.1", portal.ports["calls"])) as sock:
+        sock.sendall(data)
+        assert sock.recv(100).startswith(b"HTTP/1.1 400")
+    assert ledger.target.runs == []
+
+
+def test_metrics_are_served(sidecars):
+    portal, _ = sidecars.start("portal", "ledger")
+    portal.call("/give/x", method="POST")
+    status, _, body = ask(portal.ports["metrics"], "GET", "/metrics")
+    assert status == 200
+    assert b"egret_calls_answered_total 1" in body
