--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -9,6 +9,8 @@
 # Used until the first requests have shown how long the target takes.
 FIRST_WORK_MS = 60.0
 WORK_GAIN = 0.1
+# Most requests take no longer than their usual time by this factor.
+SAFE_WORK_FACTOR = 1.3
 # Time that a target needs at least to do anything useful, as a part of its usual time.
 LEAST_WORK_SHARE = 0.5
 # A request that will miss its objective may wait for this part of its time.
@@ -122,7 +124,7 @@
 
     def _rank(self, entry: QueueEntry, now: Millis) -> tuple[int, bool, Millis]:
         """Order by urgency; what will miss its objective goes behind what can make it."""
-        late = now + self.work.of(entry.route) > entry.objective_at
+        late = now + self.work.of(entry.route) * SAFE_WORK_FACTOR > entry.objective_at
         return (entry.priority, late, entry.arrived)
 
     def _wait_of(self, entry: QueueEntry, now: Millis) -> float:
@@ -136,7 +138,7 @@
 
     def _allowed_wait(self, entry: QueueEntry, now: Millis) -> float:
         work_ms = self.work.of(entry.route)
-        in_time_ms = entry.objective_at - now - work_ms
+        in_time_ms = entry.objective_at - now - work_ms * SAFE_WORK_FACTOR
         if in_time_ms > 0:
             return in_time_ms
         return (entry.expires_at - now - work_ms) * LATE_WAIT_SHARE
