--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from egretworks.attemptbudget import AttemptBudget
+from egretworks.calllog import CallLog
 from egretworks.clock import Clock, Millis
 from egretworks.configholder import ConfigHolder
 from egretworks.edge import CallHead, Edge
@@ -34,7 +35,6 @@
 from egretworks.metrics import Metrics
 from egretworks.picking import Prospect, pick
 from egretworks.streams import after
-from egretworks.timeline import Timeline
 from egretworks.types import RandomSource, Repeat, ServiceName
 
 # A request that names no deadline gets this one.
@@ -60,6 +60,10 @@
     def prospect(self, now: Millis) -> Prospect:
         """Return how the target stands."""
 
+    @property
+    def name(self) -> str:
+        """Return the id of the daemon beside the target."""
+
 
 class ForwardHost(msgspec.Struct, frozen=True):
     """Hold what forwarding needs of the daemon around it."""
@@ -68,7 +72,7 @@
     random: RandomSource
     edge: Edge
     metrics: Metrics
-    timeline: Timeline
+    calls: CallLog
     config: ConfigHolder
     # Returns the places that take requests for a service.
     places: Callable[[ServiceName], list[Place]]
@@ -94,6 +98,7 @@
             call = self._begin(exchange)
         except CallError as error:
             self.host.metrics.count(f"errors_{error.code.replace('.', '_')}")
+            self.host.calls.failure("call_turned_away", "", code=error.code, why=error.message)
             pause_ms = UNREADY_RETRY_AFTER_MS if isinstance(error, NotReady) else 0.0
             exchange.answer(refusal_response(error, pause_ms))
             return
@@ -153,6 +158,8 @@
         self._arrivals = 0
         self._may_have_run = False
         self._failed_answer: Answered | None = None
+        # What was known of each target that was tried, and what came of it, for the log.
+        self._attempts: list[dict[str, object]] = []
         self._cancel: CancelCall | None = None
         self._ended = False
         self._timer = after(self._deadline - now + DEADLINE_GRACE_MS, self._on_deadline)
@@ -168,6 +175,7 @@
         place = places[index]
         self._tried.append(place)
         self._offers += 1
+        self._note_offer(place, now)
         self._cancel = None
         cancel = place.offer(self._make_offer(now), self._on_outcome)
         if not self._ended and self._tried[-1] is place:
@@ -177,6 +185,7 @@
         """Stop work that nobody waits for."""
         if self._end():
             self._host.metrics.count("calls_abandoned")
+            self._host.calls.step("call_abandoned", self._head.id, attempts=self._attempts)
             if self._cancel is not None:
                 self._cancel()
 
@@ -201,6 +210,7 @@
     def _on_outcome(self, outcome: Outcome) -> None:
         if self._ended:
             return
+        self._note_outcome(outcome)
         if isinstance(outcome, Answered):
             self._on_answered(outcome)
         elif isinstance(outcome, Refused):
@@ -285,17 +295,44 @@
         took_ms = host.clock.now() - self._started
         host.metrics.count(f"calls_{result}")
         host.metrics.observe("call", took_ms)
-        if result != "answered" or response.status >= 500:
-            host.timeline.record(
-                f"call_{result}",
-                call=self._head.id,
-                target=self._service,
-                version=host.config.version,
-                detail=f"{reason}; route {self._route.name}, {self._offers} offers,"
-                f" {self._arrivals} arrivals, {took_ms:.0f} ms",
-            )
+        failed = result != "answered" or response.status >= 500
+        log = host.calls.failure if failed else host.calls.step
+        log(
+            f"call_{result}",
+            self._head.id,
+            status=response.status,
+            reason=reason,
+            route=self._route.name,
+            service=self._service,
+            version=host.config.version,
+            took_ms=round(took_ms, 1),
+            attempts=self._attempts,
+        )
         self._exchange.answer(response)
 
+    def _note_offer(self, place: Place, now: Millis) -> None:
+        prospect = place.prospect(now)
+        self._attempts.append(
+            {
+                "daemon": place.name,
+                "at_ms": round(now - self._started, 1),
+                "load": prospect.load,
+                "slots": prospect.slots,
+                "work_ms": prospect.work_ms,
+                "suspect": prospect.suspect,
+                "near": prospect.near,
+            }
+        )
+
+    def _note_outcome(self, outcome: Outcome) -> None:
+        now = self._host.clock.now()
+        attempt = self._attempts[-1]
+        attempt["ended_ms"] = round(now - self._started, 1)
+        if isinstance(outcome, Answered):
+            attempt["outcome"] = str(outcome.status)
+        else:
+            attempt["outcome"] = f"{type(outcome).__name__.lower()} {outcome.reason.name.lower()}"
+
     def _end(self) -> bool:
         """Mark the call as ended; return False where it has ended before."""
         if self._ended:
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from egretworks.calllog import CallLog
 from egretworks.clock import Clock, Millis
 from egretworks.edge import Departure, Edge, Heartbeat, TargetHead
 from egretworks.gatequeue import GateQueue, QueueEntry
@@ -52,6 +53,7 @@
     edge: Edge
     metrics: Metrics
     timeline: Timeline
+    calls: CallLog
     drain_ms: float
     # Returns the path for health checks of a service, or None while none is known.
     health_path: Callable[[ServiceName], str | None]
@@ -166,6 +168,21 @@
     ) -> Refused:
         """Return the statement that `offer` hasn't run and won't."""
         self._host.metrics.count(f"gate_refused_{reason.name.lower()}")
+        view = self._book.current
+        self._host.calls.failure(
+            "gate_refused",
+            offer.call,
+            reason=reason.name.lower(),
+            target=view.id if view else "",
+            sequence=view.sequence if view else 0,
+            arrived=arrived,
+            left_ms=offer.left_ms,
+            objective_left_ms=offer.objective_left_ms,
+            slots=self._queue.slots,
+            load=self._queue.load,
+            work_ms=round(self._queue.work.of(offer.route), 1),
+            room_in_ms=round(wait_ms, 1),
+        )
         return Refused(offer.serial, reason, wait_ms, arrived, self.report())
 
     def _follow(self, view: TargetView) -> None:
@@ -289,7 +306,16 @@
         )
         host = next((value for name, value in offer.headers if name == b"host"), b"")
         data = encode_request(offer, host.decode("latin-1"), self._host.edge.target_headers(head))
-        self._host.metrics.observe("gate_wait", self._started - self._entry.arrived)
+        waited_ms = self._started - self._entry.arrived
+        self._host.metrics.observe("gate_wait", waited_ms)
+        self._host.calls.step(
+            "gate_handed",
+            offer.call,
+            target=self._view.id,
+            waited_ms=round(waited_ms, 1),
+            left_ms=round(left_ms, 1),
+            running=gate.running,
+        )
         exchange = Exchange(
             offer.method, data, left_ms + ANSWER_GRACE_MS, self._belongs, self._on_done
         )
@@ -335,8 +361,7 @@
             return gate.refusal(offer, RefusalReason.NO_CONNECTION, NOT_SERVING_WAIT_MS)
         if isinstance(outcome, ExchangeFailure):
             timed_out = outcome is ExchangeFailure.TIMED_OUT
-            reason = LossReason.TIMED_OUT if timed_out else LossReason.BROKEN
-            return Lost(offer.serial, reason, gate.report())
+            return self._lost(LossReason.TIMED_OUT if timed_out else LossReason.BROKEN)
         marks = self._host.edge.read_marks(outcome)
         if marks.not_run or outcome.status == 421:
             if outcome.status == 421:
@@ -344,9 +369,20 @@
             wait_ms = self._queue.work.mean
             return gate.refusal(offer, RefusalReason.DECLINED, wait_ms, arrived=True)
         if not marks.signed or marks.encoded:
-            return Lost(offer.serial, LossReason.NOT_WHOLE, gate.report())
+            return self._lost(LossReason.NOT_WHOLE)
         return Answered(offer.serial, outcome.status, outcome.headers, outcome.body, gate.report())
 
+    def _lost(self, reason: LossReason) -> Lost:
+        self._host.metrics.count(f"gate_lost_{reason.name.lower()}")
+        self._host.calls.failure(
+            "gate_lost",
+            self._offer.call,
+            reason=reason.name.lower(),
+            target=self._view.id,
+            after_ms=round(self._host.clock.now() - self._started, 1),
+        )
+        return Lost(self._offer.serial, reason, self._gate.report())
+
     def _tell(self, outcome: Outcome) -> None:
         reply, self._reply = self._reply, None
         if reply is not None:
--- a/egretworks/links.py
+++ b/egretworks/links.py
@@ -42,6 +42,7 @@
 BUSY_PING_MS = 150
 # Every link is asked this often; the answer also tells which configuration the peer has.
 PING_MS = 1_000
+DELAY_GAIN = 0.5
 # A daemon that leaves a ping unanswered this long gets no offers if another can have them.
 SUSPECT_MS = 300
 # And its link is given up after this time, since connections may go silent for good.
@@ -87,10 +88,9 @@
 class LocalPlace:
     """Offer requests to the target beside this daemon."""
 
-    near = True
-
-    def __init__(self, gate: Gate) -> None:
+    def __init__(self, gate: Gate, name: InstanceId) -> None:
         self._gate = gate
+        self.name = name
 
     def offer(self, offer: Offer, reply: Reply) -> CancelCall:
         """Offer a request to the gate."""
@@ -123,9 +123,15 @@
         self._heard_at = Millis(0)
         self._pinged_at: Millis | None = None
         self._last_ping = Millis(0)
+        self._delay_ms = 0.0
         self._try_at = Millis(0)
         self._failures = 0
 
+    @property
+    def name(self) -> InstanceId:
+        """Return the id of the daemon beside the target."""
+        return self.row.id
+
     @property
     def usable(self) -> bool:
         """Return whether offers can be made."""
@@ -156,6 +162,7 @@
             report.failing_percent,
             self.near,
             suspect,
+            self._delay_ms,
         )
 
     def tell(self, frame: Frame) -> None:
@@ -239,6 +246,8 @@
         if isinstance(frame, Answered | Refused | Lost):
             self._finish(frame)
         elif isinstance(frame, Pong):
+            round_trip_ms = self._host.clock.now() - self._last_ping
+            self._delay_ms += (round_trip_ms - self._delay_ms) * DELAY_GAIN
             self._note_report(frame.report)
             self._host.config.note_peer(frame.config_version, self)
         elif isinstance(frame, Hello):
--- a/egretworks/picking.py
+++ b/egretworks/picking.py
@@ -12,7 +12,10 @@
 FAR_COST_MS = 40.0
 # Spreads callers that know the same over targets that are almost alike.
 SPREAD = 0.15
+# Each percent of failures makes a target look this much slower.
 FAILING_WEIGHT = 0.04
+# A target whose slots are all taken looks this much slower than an idle one.
+FILLED_WEIGHT = 0.25
 
 
 class Prospect(msgspec.Struct):
@@ -25,6 +28,8 @@
     near: bool
     # Its daemon hasn't answered for a while.
     suspect: bool
+    # What the way to the target's daemon and back takes, in milliseconds.
+    delay_ms: float = 0.0
 
 
 def expected_ms(prospect: Prospect) -> float:
@@ -34,7 +39,7 @@
     # A target slows down when its last slots fill up.
     filled = min(1.0, prospect.load / slots)
     work_ms = prospect.work_ms * (1.0 + prospect.failing_percent * FAILING_WEIGHT)
-    return work_ms * (1.0 + queued / slots + 0.25 * filled * filled)
+    return prospect.delay_ms + work_ms * (1.0 + queued / slots + FILLED_WEIGHT * filled * filled)
 
 
 def pick(prospects: Iterable[Prospect], random: RandomSource) -> int | None:
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -13,6 +13,7 @@
 
 from egretworks import logs
 from egretworks.attemptbudget import AttemptBudget
+from egretworks.calllog import CallLog
 from egretworks.clock import SystemClock, seconds
 from egretworks.config import SidecarSettings, read_sidecar_settings
 from egretworks.configholder import ConfigHolder
@@ -40,7 +41,7 @@
 # The other daemons send nothing more this long after they have heard of the stop.
 NEWS_SPREAD_MS = 300
 # Left of the grace time when the daemon ends what is still open.
-LEAST_GRACE_LEFT_MS = 400
+LEAST_GRACE_LEFT_MS = 700
 DRAIN_POLL_MS = 25
 
 log = logging.getLogger(__name__)
@@ -73,6 +74,7 @@
             incarnation=int(self._clock.wall()),
             serial=0,
         )
+        self._calls = CallLog(self._timeline, self._clock)
         self._rows = RowTable(own)
         self._config = ConfigHolder(edge.decode_config, self._timeline, self._on_config)
         self._gate = Gate(
@@ -81,12 +83,13 @@
                 edge,
                 self._metrics,
                 self._timeline,
+                self._calls,
                 settings.bounds.drain_ms,
                 self._config.health_path,
                 self._on_target_changed,
             )
         )
-        self._local_place = LocalPlace(self._gate)
+        self._local_place = LocalPlace(self._gate, own.id)
         self._link_host = LinkHost(
             self._clock,
             self._metrics,
@@ -112,7 +115,6 @@
         eventlet.spawn_n(self._poll_settings)
         eventlet.spawn_n(self._follow_store)
         self._stopped.wait()
-        self._timeline.record("stopped")
 
     def stop(self) -> None:
         """Drain and stop; a second call changes nothing."""
@@ -128,7 +130,7 @@
             self._random,
             self._edge,
             self._metrics,
-            self._timeline,
+            self._calls,
             self._config,
             self._places,
             lambda: 1 + len(self._rows.rows_by_id),
@@ -309,25 +311,26 @@
 
     def _drain(self) -> None:
         """Leave the rotation, finish what is in hand, and end."""
-        started = self._clock.now()
-        last_moment = started + self._settings.bounds.grace_ms - LEAST_GRACE_LEFT_MS
+        last_moment = self._clock.now() + self._settings.bounds.grace_ms - LEAST_GRACE_LEFT_MS
+        # New callers come until the readiness checks have taken the daemon out.
         eventlet.sleep(seconds(OUT_OF_ROTATION_MS - NEWS_SPREAD_MS))
-        self._call_port.closing = True
         self._gate.stopping = True
         self._publish(self._rows.change_own(leaving=True, target=self._gate.row()))
         eventlet.sleep(seconds(NEWS_SPREAD_MS))
-        while self._clock.now() < last_moment and self._busy():
-            eventlet.sleep(seconds(DRAIN_POLL_MS))
+        self._call_port.closing = True
         self._call_port.stop_listening()
         self._call_port.close_idle()
-        while self._clock.now() < last_moment and self._call_port.busy:
+        while self._clock.now() < last_moment and self._busy():
             eventlet.sleep(seconds(DRAIN_POLL_MS))
+        self._timeline.record(
+            "stopped", detail=f"calls={self._forwarder.in_hand} runs={self._gate.running}"
+        )
         for served in list(self._served):
             served.close()
         self._stopped.send()
 
     def _busy(self) -> bool:
-        return bool(self._forwarder.in_hand or self._gate.running)
+        return bool(self._forwarder.in_hand or self._gate.running or self._call_port.busy)
 
 
 def run_sidecar(path: Path, edge: Edge, connect_store: ConnectStore) -> None:
--- a/egretworks/timeline.py
+++ b/egretworks/timeline.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import deque
+from typing import Any
 
 import msgspec
 
@@ -28,6 +29,8 @@
     call: str = ""
     key: str = ""
     detail: str = ""
+    # What decided, by name; durations in milliseconds.
+    facts: dict[str, Any] = {}
 
 
 class EventPage(msgspec.Struct, frozen=True):
@@ -55,6 +58,7 @@
         call: str = "",
         key: str = "",
         detail: str = "",
+        facts: dict[str, Any] | None = None,
     ) -> None:
         """Add an event and log it."""
         self._serial += 1
@@ -69,6 +73,7 @@
             call=call,
             key=key,
             detail=detail,
+            facts=facts or {},
         )
         self._events.append(event)
         log.info(kind, extra={"event": msgspec.to_builtins(event)})
