--- a/egretworks/cmdline.py
+++ b/egretworks/cmdline.py
@@ -11,6 +11,8 @@
 from egretworks.config import read_client_settings
 from egretworks.control import EventFilter, OperatorClient, Outcome, TicketStanding
 from egretworks.exceptions import EgretError
+from egretworks.explain import explain as tell
+from egretworks.explain import read_events, story_text
 from egretworks.ledger import parse_number
 from egretworks.tables import as_json, as_table, as_time
 from egretworks.tickets import Ticket
@@ -161,6 +163,23 @@
     _print(standing, text, json)
 
 
+def explain(call: str, *logs: Path, json: bool = False) -> None:
+    """Tell from the daemons' logs what became of a call, and what decided it.
+
+    :param call: the call's id
+    :param logs: files with the daemons' log lines; standard input if none is named
+    :param json: print JSON
+    """
+    events = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            events += read_events(lines)
+    if not logs:
+        events = read_events(sys.stdin)
+    story = tell(call, events)
+    _print(story, story_text(story), json)
+
+
 COMMANDS_BY_NAME = {
     "file": file,
     "accept": accept,
@@ -170,6 +189,7 @@
     "fleet": fleet,
     "timeline": timeline,
     "once": once,
+    "explain": explain,
 }
 
 
--- a/egretworks/exceptions.py
+++ b/egretworks/exceptions.py
@@ -248,6 +248,13 @@
     exit_status = 2
 
 
+class CallNotLogged(ControlError):
+    """Report a call that no log line names."""
+
+    code = "control.call_not_logged"
+    exit_status = 5
+
+
 class FleetUnreachable(ControlError):
     """Report a fleet none of whose daemons answered."""
 
