--- a/egretworks/picking.py
+++ b/egretworks/picking.py
@@ -8,8 +8,9 @@
 
 from egretworks.types import RandomSource
 
-# What a request to another data centre costs, as if it were time.
-FAR_COST_MS = 40.0
+# A target in another data centre looks slower by this many times its usual work, as the bytes
+# between data centres are dear.
+FAR_WORK_FACTOR = 1.8
 # Spreads callers that know the same over targets that are almost alike.
 SPREAD = 0.15
 # Each percent of failures makes a target look this much slower.
@@ -49,7 +50,7 @@
     for index, prospect in enumerate(prospects):
         cost_ms = expected_ms(prospect) * (1.0 + SPREAD * random.random())
         if not prospect.near:
-            cost_ms += FAR_COST_MS
+            cost_ms += FAR_WORK_FACTOR * prospect.work_ms
         rank = (prospect.suspect, cost_ms)
         if best is None or rank < best_rank:
             best, best_rank = index, rank
