Order a gate's queue by objective and give up what isn't worth its wait

Change: within a rank the earliest objective goes first; each request has one latest start, 150 ms behind the one in time at most, by which it is admitted and at which it is given up.

--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -13,8 +13,8 @@
 SAFE_WORK_FACTOR = 1.3
 # Time that a target needs at least to do anything useful, as a part of its usual time.
 LEAST_WORK_SHARE = 0.5
-# A request that will miss its objective may wait for this part of its time.
-LATE_WAIT_SHARE = 0.35
+# A request that misses its objective may wait this much longer for a slot that gets free.
+LATE_WAIT_MS = 150.0
 
 
 class QueueEntry(msgspec.Struct, eq=False):
@@ -25,6 +25,8 @@
     arrived: Millis
     objective_at: Millis
     expires_at: Millis
+    # A start after this isn't worth waiting for; set when the request enters a queue.
+    latest_start: Millis = Millis(0)
 
 
 class WorkTimes:
@@ -83,10 +85,10 @@
         if self._running < self.slots and not self._waiting:
             self._running += 1
             return Verdict(run=True)
-        wait_ms = self._wait_of(entry, now)
-        allowed_ms = self._allowed_wait(entry, now)
-        if wait_ms > allowed_ms:
-            return Verdict(room_in_ms=wait_ms - max(0.0, allowed_ms))
+        entry.latest_start = self._latest_start(entry)
+        late_ms = now + self._wait_of(entry, now) - entry.latest_start
+        if late_ms > 0:
+            return Verdict(room_in_ms=late_ms)
         self._waiting.append(entry)
         return Verdict(wait=True)
 
@@ -111,8 +113,8 @@
         return entry
 
     def give_up(self, now: Millis) -> list[QueueEntry]:
-        """Take out and return the waiting requests that can't be answered in time any more."""
-        hopeless = [entry for entry in self._waiting if self._is_hopeless(entry, now)]
+        """Take out and return the requests that have waited as long as is worth it."""
+        hopeless = [entry for entry in self._waiting if now > entry.latest_start]
         for entry in hopeless:
             self._waiting.remove(entry)
         return hopeless
@@ -123,9 +125,9 @@
         return dropped
 
     def _rank(self, entry: QueueEntry, now: Millis) -> tuple[int, bool, Millis]:
-        """Order by urgency; what will miss its objective goes behind what can make it."""
+        """Order by urgency, then by objective; what will miss its own goes behind the rest."""
         late = now + self.work.of(entry.route) * SAFE_WORK_FACTOR > entry.objective_at
-        return (entry.priority, late, entry.arrived)
+        return (entry.priority, late, entry.objective_at)
 
     def _wait_of(self, entry: QueueEntry, now: Millis) -> float:
         """Return how long `entry` would wait, in milliseconds."""
@@ -136,13 +138,7 @@
                 ahead_ms += self.work.of(waiting.route)
         return ahead_ms / max(1, self.slots)
 
-    def _allowed_wait(self, entry: QueueEntry, now: Millis) -> float:
+    def _latest_start(self, entry: QueueEntry) -> Millis:
         work_ms = self.work.of(entry.route)
-        in_time_ms = entry.objective_at - now - work_ms * SAFE_WORK_FACTOR
-        if in_time_ms > 0:
-            return in_time_ms
-        return (entry.expires_at - now - work_ms) * LATE_WAIT_SHARE
-
-    def _is_hopeless(self, entry: QueueEntry, now: Millis) -> bool:
-        work_ms = self.work.of(entry.route)
-        return now + work_ms * LEAST_WORK_SHARE > entry.expires_at
+        in_time = max(entry.arrived, entry.objective_at - work_ms * SAFE_WORK_FACTOR)
+        return Millis(min(entry.expires_at - work_ms * LEAST_WORK_SHARE, in_time + LATE_WAIT_MS))
