Let a late request wait long only where its caller can't come back

Change: they wait 40 ms past it at most; a request with less than 600 ms left, which can't come back, still waits 150 ms.

--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -13,8 +13,11 @@
 SAFE_WORK_FACTOR = 1.3
 # Time that a target needs at least to do anything useful, as a part of its usual time.
 LEAST_WORK_SHARE = 0.5
-# A request that misses its objective may wait this much longer for a slot that gets free.
-LATE_WAIT_MS = 150.0
+# A request that misses its objective may wait this much longer for a slot that gets free,
+LATE_WAIT_MS = 40.0
+# or this much if its caller has too little time left to come back after a refusal.
+LAST_CHANCE_WAIT_MS = 150.0
+LAST_CHANCE_LEFT_MS = 600.0
 
 
 class QueueEntry(msgspec.Struct, eq=False):
@@ -141,4 +144,6 @@
     def _latest_start(self, entry: QueueEntry) -> Millis:
         work_ms = self.work.of(entry.route)
         in_time = max(entry.arrived, entry.objective_at - work_ms * SAFE_WORK_FACTOR)
-        return Millis(min(entry.expires_at - work_ms * LEAST_WORK_SHARE, in_time + LATE_WAIT_MS))
+        last_chance = entry.expires_at - entry.arrived < LAST_CHANCE_LEFT_MS
+        late_ms = LAST_CHANCE_WAIT_MS if last_chance else LATE_WAIT_MS
+        return Millis(min(entry.expires_at - work_ms * LEAST_WORK_SHARE, in_time + late_ms))
