--- a/egretworks/edge.py
+++ b/egretworks/edge.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from egretworks.clock import Millis
 from egretworks.httpwire import Headers, Request, Response
 from egretworks.meshroutes import MeshConfig
 from egretworks.types import CallId, Endpoint, ServiceName, TargetId, TargetState
@@ -98,14 +97,3 @@
 
     def decode_config(self, document: bytes) -> MeshConfig:
         """Return the configuration in `document`, or raise `ConfigInvalid`."""
-
-
-class LimitBounds(msgspec.Struct, frozen=True):
-    """Hold the bounds that the deployment's contract sets."""
-
-    drain_ms: Millis
-    grace_ms: Millis
-    config_apply_ms: Millis
-    retry_ratio: float
-    retry_window_ms: Millis
-    retry_slack: float
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -35,7 +35,7 @@
 from egretworks.metrics import Metrics
 from egretworks.picking import Prospect, pick
 from egretworks.streams import after
-from egretworks.types import RandomSource, Repeat, ServiceName
+from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
 # A request that names no deadline gets this one.
 DEFAULT_LEFT_MS = 15_000.0
@@ -94,11 +94,14 @@
 
     def serve(self, exchange: HttpExchange) -> None:
         """Carry one request to its answer."""
+        id = CallId("")
         try:
-            call = self._begin(exchange)
+            head = self.host.edge.read_head(exchange.request)
+            id = head.id
+            call = self._begin(exchange, head)
         except CallError as error:
             self.host.metrics.count(f"errors_{error.code.replace('.', '_')}")
-            self.host.calls.failure("call_turned_away", "", code=error.code, why=error.message)
+            self.host.calls.failure("call_turned_away", id, code=error.code, reason=error.message)
             pause_ms = UNREADY_RETRY_AFTER_MS if isinstance(error, NotReady) else 0.0
             exchange.answer(refusal_response(error, pause_ms))
             return
@@ -113,10 +116,9 @@
             budget = self._budget_by_service[service] = self.host.new_budget()
         return budget
 
-    def _begin(self, exchange: HttpExchange) -> _Call:
+    def _begin(self, exchange: HttpExchange, head: CallHead) -> _Call:
         host = self.host
         request = exchange.request
-        head = host.edge.read_head(request)
         if host.config.config is None:
             raise NotReady("no configuration is in force here yet")
         route = host.config.index.find(request.header(b"host"), request.path)
