--- a/egretworks/settingspage.py
+++ b/egretworks/settingspage.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import inspect
 
-from egretworks.config import ClientSettings, Section, Settings
+from egretworks.config import ClientSettings, Section, Settings, SidecarSettings
 from egretworks.tables import as_json
 
 INTRODUCTION = """# Settings
@@ -20,6 +20,8 @@
     """Return the page as Markdown."""
     parts = [INTRODUCTION, "\n## egretd\n"]
     parts += _tables(Settings, "")
+    parts.append("\n## meshd\n")
+    parts += _tables(SidecarSettings, "")
     parts.append("\n## egretctl\n")
     parts += _tables(ClientSettings, "")
     return "".join(parts)
