--- a/examples/standins/platform.py
+++ b/examples/standins/platform.py
@@ -115,17 +115,7 @@
         wanted = environ.get("HTTP_IF_MATCH")
         if wanted and (current is None or wanted != f'"{current[0]}"'):
             return reply(start, "412 Precondition Failed")
-        self.position += 1
-        if method == "DELETE":
-            self.objects.pop(key, None)
-            value = None
-        else:
-            self.objects[key] = (self.position, value)
-        self.history.append((self.position, *key, value))
-        self.trim()
-        waiters, self.waiters = self.waiters, []
-        for waiter in waiters:
-            waiter.send()
+        self.store(key, None if method == "DELETE" else value)
         if self.faults["lose_answers"]:
             self.faults["lose_answers"] -= 1
             return reply(start, "503 Service Unavailable")
@@ -158,9 +148,12 @@
         return self.users_object(start, parts[0], name, "200 OK")
 
     def store(self, key, value):
-        """Store `value` at the next position and wake the watches."""
+        """Store `value`, or delete the object for None, at the next position; wake the watches."""
         self.position += 1
-        self.objects[key] = (self.position, value)
+        if value is None:
+            self.objects.pop(key, None)
+        else:
+            self.objects[key] = (self.position, value)
         self.history.append((self.position, *key, value))
         self.trim()
         waiters, self.waiters = self.waiters, []
