Split the gate and the links by job

LinkHost.metrics was passed and never used. Change: gatework.py has one request's work, peerlinks.py the calling end, servedlinks.py the serving end, linkhost.py what both need, places.py the interface to a target. No behaviour changed.

--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 
@@ -20,7 +19,7 @@
     OutcomeUnknown,
     Overloaded,
 )
-from egretworks.gate import CancelCall, Reply
+from egretworks.gatework import CancelCall
 from egretworks.httpport import HttpExchange
 from egretworks.httpwire import Headers, Response, error_response
 from egretworks.linkframes import (
@@ -33,7 +32,8 @@
 )
 from egretworks.meshroutes import MeshRoute, Splitter
 from egretworks.metrics import Metrics
-from egretworks.picking import Prospect, pick
+from egretworks.picking import pick
+from egretworks.places import Place
 from egretworks.streams import after
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
@@ -51,20 +51,6 @@
 UNREADY_RETRY_AFTER_MS = 250.0
 
 
-class Place(Protocol):
-    """Offer requests to one target."""
-
-    def offer(self, offer: Offer, reply: Reply) -> CancelCall:
-        """Offer a request; `reply` gets the outcome."""
-
-    def prospect(self, now: Millis) -> Prospect:
-        """Return how the target stands."""
-
-    @property
-    def name(self) -> str:
-        """Return the id of the daemon beside the target."""
-
-
 class ForwardHost(msgspec.Struct, frozen=True):
     """Hold what forwarding needs of the daemon around it."""
 
--- /dev/null
+++ b/egretworks/gatework.py
@@ -0,0 +1,142 @@
+"""Carry one request through a gate's queue and its exchange with the target."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from egretworks.clock import Millis
+from egretworks.edge import TargetHead
+from egretworks.gatequeue import GateQueue, QueueEntry
+from egretworks.httpwire import Response, encode_request
+from egretworks.linkframes import (
+    Answered,
+    LossReason,
+    Lost,
+    Offer,
+    Outcome,
+    RefusalReason,
+)
+from egretworks.targetbook import TargetView
+from egretworks.targetlink import Exchange, ExchangeFailure
+from egretworks.types import CallId, ServiceName
+
+if TYPE_CHECKING:
+    from egretworks.gate import Gate
+
+# A target that stops at the deadline has this long to say so.
+ANSWER_GRACE_MS = 60
+NOT_SERVING_WAIT_MS = 250.0
+
+Reply = Callable[[Outcome], None]
+CancelCall = Callable[[], None]
+
+
+class GateWork:
+    """Carry one offer through the queue and the exchange with the target."""
+
+    def __init__(
+        self, gate: Gate, view: TargetView, offer: Offer, entry: QueueEntry, reply: Reply
+    ) -> None:
+        self._gate = gate
+        self._host = gate.host
+        self._view = view
+        self._offer = offer
+        self._entry = entry
+        self._reply: Reply | None = reply
+        self._queue: GateQueue | None = None
+        self._started = Millis(0)
+        self._break_off: CancelCall | None = None
+
+    def run(self) -> None:
+        """Hand the request to the target."""
+        gate, offer = self._gate, self._offer
+        self._queue = gate.queue
+        self._started = self._host.clock.now()
+        left_ms = max(1.0, self._entry.expires_at - self._started)
+        head = TargetHead(
+            CallId(offer.call), int(left_ms), ServiceName(offer.caller), self._view.id
+        )
+        host = next((value for name, value in offer.headers if name == b"host"), b"")
+        data = encode_request(offer, host.decode("latin-1"), self._host.edge.target_headers(head))
+        waited_ms = self._started - self._entry.arrived
+        self._host.metrics.observe("gate_wait", waited_ms)
+        self._host.calls.step(
+            "gate_handed",
+            offer.call,
+            target=self._view.id,
+            waited_ms=round(waited_ms, 1),
+            left_ms=round(left_ms, 1),
+            running=gate.running,
+        )
+        exchange = Exchange(
+            offer.method, data, left_ms + ANSWER_GRACE_MS, self._belongs, self._on_done
+        )
+        self._break_off = gate.send(exchange)
+
+    def refuse(self, reason: RefusalReason, wait_ms: float) -> None:
+        """Tell that the request was never handed over."""
+        self._tell(self._gate.refusal(self._offer, reason, wait_ms))
+
+    def cancel(self) -> None:
+        """Stop what can be stopped, as nobody waits for the outcome."""
+        if self._reply is None:
+            return
+        self._reply = None
+        if self._gate.withdraw(self._entry) or self._break_off is None:
+            return
+        if self._offer.idempotent:
+            self._break_off()
+            self._gate.free_slot(self._queue)
+
+    def _belongs(self, response: Response) -> bool:
+        # An answer that names no request may be another's.
+        return self._host.edge.read_marks(response).id == self._offer.call
+
+    def _on_done(self, outcome: Response | ExchangeFailure) -> None:
+        gate = self._gate
+        took_ms = self._host.clock.now() - self._started
+        result = self._judge(outcome)
+        if isinstance(result, Answered):
+            gate.note_result(failed=result.status >= 500)
+            self._queue.work.note(self._offer.route, took_ms)
+            self._host.metrics.observe("target", took_ms)
+        else:
+            gate.note_result(failed=True)
+        gate.free_slot(self._queue)
+        self._tell(result)
+
+    def _judge(self, outcome: Response | ExchangeFailure) -> Outcome:
+        """Return what is certain about the request after its exchange with the target."""
+        gate, offer = self._gate, self._offer
+        if outcome is ExchangeFailure.NO_CONNECTION:
+            gate.on_unreachable(self._view)
+            return gate.refusal(offer, RefusalReason.NO_CONNECTION, NOT_SERVING_WAIT_MS)
+        if isinstance(outcome, ExchangeFailure):
+            timed_out = outcome is ExchangeFailure.TIMED_OUT
+            return self._lost(LossReason.TIMED_OUT if timed_out else LossReason.BROKEN)
+        marks = self._host.edge.read_marks(outcome)
+        if marks.not_run or outcome.status == 421:
+            if outcome.status == 421:
+                gate.on_other_target(self._view)
+            wait_ms = self._queue.work.mean
+            return gate.refusal(offer, RefusalReason.DECLINED, wait_ms, arrived=True)
+        if not marks.signed or marks.encoded:
+            return self._lost(LossReason.NOT_WHOLE)
+        return Answered(offer.serial, outcome.status, outcome.headers, outcome.body, gate.report())
+
+    def _lost(self, reason: LossReason) -> Lost:
+        self._host.metrics.count(f"gate_lost_{reason.name.lower()}")
+        self._host.calls.failure(
+            "gate_lost",
+            self._offer.call,
+            reason=reason.name.lower(),
+            target=self._view.id,
+            after_ms=round(self._host.clock.now() - self._started, 1),
+        )
+        return Lost(self._offer.serial, reason, self._gate.report())
+
+    def _tell(self, outcome: Outcome) -> None:
+        reply, self._reply = self._reply, None
+        if reply is not None:
+            reply(outcome)
--- /dev/null
+++ b/egretworks/linkhost.py
@@ -0,0 +1,41 @@
+"""Hold what the two ends of a link need of the daemon around them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from egretworks.clock import Clock
+from egretworks.configholder import ConfigHolder
+from egretworks.gate import Gate
+from egretworks.linkframes import Hello
+from egretworks.rows import DaemonRow, RowTable
+from egretworks.timeline import Timeline
+
+
+class LinkHost(msgspec.Struct, frozen=True):
+    """Hold what links need of the daemon around them."""
+
+    clock: Clock
+    timeline: Timeline
+    rows: RowTable
+    config: ConfigHolder
+    gate: Gate
+    # Called with rows that are news.
+    on_news: Callable[[list[DaemonRow]], None]
+    # Called when the own row had to change.
+    on_own_change: Callable[[DaemonRow], None]
+
+    def hello(self) -> Hello:
+        """Return what opens a link."""
+        return Hello(self.rows.own, self.config.version, self.rows.all_rows())
+
+    def learn(self, rows: list[DaemonRow]) -> None:
+        """Take in rows from a peer."""
+        own = self.rows.own
+        news = self.rows.merge(rows)
+        if news:
+            self.on_news(news)
+        if self.rows.own is not own:
+            self.on_own_change(self.rows.own)
--- a/egretworks/links.py
+++ b/egretworks/peerlinks.py
@@ -1,16 +1,14 @@
-"""Hold the links between daemons: offers go out on the caller's side, answers come back."""
+"""Hold the calling end of a link: offers go out to another daemon, outcomes come back."""
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
 import msgspec
 
-from egretworks.clock import Clock, Millis
-from egretworks.configholder import ConfigHolder
+from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
-from egretworks.gate import CancelCall, Gate, Reply
+from egretworks.gatework import CancelCall, Reply
 from egretworks.linkframes import (
     Answered,
     Cancel,
@@ -30,11 +28,10 @@
     Rows,
     encode_frame,
 )
-from egretworks.metrics import Metrics
+from egretworks.linkhost import LinkHost
 from egretworks.picking import Prospect
-from egretworks.rows import DaemonRow, RowTable
+from egretworks.rows import DaemonRow
 from egretworks.streams import Stream, connect
-from egretworks.timeline import Timeline
 from egretworks.types import InstanceId
 
 CONNECT_TIMEOUT_MS = 600
@@ -54,55 +51,6 @@
 MOST_UNSENT_BYTES = 4_000_000
 UNKNOWN_REPORT = GateReport(slots=0, load=0, work_ms=0.0)
 
-log = logging.getLogger(__name__)
-
-
-class LinkHost(msgspec.Struct, frozen=True):
-    """Hold what links need of the daemon around them."""
-
-    clock: Clock
-    metrics: Metrics
-    timeline: Timeline
-    rows: RowTable
-    config: ConfigHolder
-    gate: Gate
-    # Called with rows that are news.
-    on_news: Callable[[list[DaemonRow]], None]
-    # Called when the own row had to change.
-    on_own_change: Callable[[DaemonRow], None]
-
-    def hello(self) -> Hello:
-        """Return what opens a link."""
-        return Hello(self.rows.own, self.config.version, self.rows.all_rows())
-
-    def learn(self, rows: list[DaemonRow]) -> None:
-        """Take in rows from a peer."""
-        own = self.rows.own
-        news = self.rows.merge(rows)
-        if news:
-            self.on_news(news)
-        if self.rows.own is not own:
-            self.on_own_change(self.rows.own)
-
-
-class LocalPlace:
-    """Offer requests to the target beside this daemon."""
-
-    def __init__(self, gate: Gate, name: InstanceId) -> None:
-        self._gate = gate
-        self.name = name
-
-    def offer(self, offer: Offer, reply: Reply) -> CancelCall:
-        """Offer a request to the gate."""
-        return self._gate.offer(offer, reply)
-
-    def prospect(self, _now: Millis) -> Prospect:
-        """Return how the target stands."""
-        report = self._gate.report()
-        return Prospect(
-            report.load, report.slots, report.work_ms, report.failing_percent, True, False
-        )
-
 
 class PeerLink:
     """Offer requests to the target beside another daemon, over one connection that is kept."""
@@ -296,78 +244,3 @@
         replies, self._reply_by_serial = self._reply_by_serial, {}
         for serial, reply in replies.items():
             reply(Lost(serial, LossReason.LINK_LOST, self._report))
-
-
-class ServedLink:
-    """Answer the offers of one other daemon."""
-
-    def __init__(self, host: LinkHost, stream: Stream, on_closed: Callable) -> None:
-        self._host = host
-        self._stream = stream
-        self._on_closed = on_closed
-        self._reader = FrameReader()
-        self._cancel_by_serial: dict[int, CancelCall] = {}
-        self._peer: InstanceId | None = None
-        stream.start(self)
-
-    def on_data(self, data: bytes) -> None:
-        """Take in bytes from the peer."""
-        try:
-            frames = self._reader.feed(data)
-        except PeerError as error:
-            log.warning("a link from %s ends: %s", self._peer, error)
-            self._stream.close()
-            self.on_end(clean=False)
-            return
-        for frame in frames:
-            self._take(frame)
-
-    def on_end(self, *, clean: bool) -> None:
-        """Stop what nobody waits for any more."""
-        self._on_closed(self)
-        cancels, self._cancel_by_serial = self._cancel_by_serial, {}
-        for cancel in cancels.values():
-            cancel()
-
-    def tell(self, frame: Frame) -> None:
-        """Send `frame` to the peer."""
-        self._stream.write(encode_frame(frame))
-
-    def close(self) -> None:
-        """Close the link once the peer has taken everything."""
-        self._stream.close_when_sent()
-
-    def _take(self, frame: Frame) -> None:
-        if isinstance(frame, Offer):
-            self._take_offer(frame)
-        elif isinstance(frame, Cancel):
-            cancel = self._cancel_by_serial.pop(frame.serial, None)
-            if cancel is not None:
-                cancel()
-        elif isinstance(frame, Ping):
-            self.tell(Pong(self._host.config.version, self._host.gate.report()))
-            self._host.config.note_peer(frame.config_version, self)
-        elif isinstance(frame, Hello):
-            self._peer = frame.row.id
-            self.tell(self._host.hello())
-            self._host.learn([frame.row, *frame.rows])
-            self._host.config.note_peer(frame.config_version, self)
-        elif isinstance(frame, Rows):
-            self._host.learn(frame.rows)
-        elif isinstance(frame, ConfigAsked):
-            self._host.config.answer(self)
-        elif isinstance(frame, ConfigCopy):
-            self._host.config.take_copy(frame, self._peer)
-
-    def _take_offer(self, offer: Offer) -> None:
-        finished = False
-
-        def reply(outcome: Outcome) -> None:
-            nonlocal finished
-            finished = True
-            self._cancel_by_serial.pop(offer.serial, None)
-            self.tell(outcome)
-
-        cancel = self._host.gate.offer(offer, reply)
-        if not finished:
-            self._cancel_by_serial[offer.serial] = cancel
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -19,14 +19,17 @@
 from egretworks.configholder import ConfigHolder
 from egretworks.edge import Edge, Heartbeat
 from egretworks.exceptions import BadRequest, SettingsError
-from egretworks.forwarding import Forwarder, ForwardHost, Place
+from egretworks.forwarding import Forwarder, ForwardHost
 from egretworks.gate import Gate, GateHost
 from egretworks.httpport import HttpExchange, HttpPort
 from egretworks.httpwire import Response, error_response
 from egretworks.linkframes import Rows
-from egretworks.links import LinkHost, LocalPlace, PeerLink, ServedLink
+from egretworks.linkhost import LinkHost
 from egretworks.metrics import Metrics
+from egretworks.peerlinks import PeerLink
+from egretworks.places import LocalPlace, Place
 from egretworks.rows import DaemonRow, RowTable, watches_store
+from egretworks.servedlinks import ServedLink
 from egretworks.storekeeper import CONFIG_NAME, ConfigWatch, RowKeeper, Store, Stored
 from egretworks.streams import Listener, Stream, after
 from egretworks.timeline import Timeline
@@ -92,7 +95,6 @@
         self._local_place = LocalPlace(self._gate, own.id)
         self._link_host = LinkHost(
             self._clock,
-            self._metrics,
             self._timeline,
             self._rows,
             self._config,
