Tell requests that come back from new ones by the time they have left

Change: patience.py estimates by route how long a caller has waited already; its objective moves forward by as much, so that the gate's queue puts it behind what can still be in time. Ruled out: recognising callers by connection, as some always open new ones.

--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -32,6 +32,7 @@
 )
 from egretworks.meshroutes import MeshRoute, Splitter
 from egretworks.metrics import Metrics
+from egretworks.patience import CallerPatience
 from egretworks.picking import pick
 from egretworks.places import Place
 from egretworks.streams import after
@@ -75,6 +76,7 @@
     def __init__(self, host: ForwardHost) -> None:
         self.host = host
         self.splitter = Splitter(host.random.random())
+        self.patience = CallerPatience()
         self.budget_by_service: dict[ServiceName, AttemptBudget] = {}
         self.in_hand = 0
 
@@ -138,6 +140,8 @@
         left_ms = DEFAULT_LEFT_MS if head.left_ms is None else head.left_ms
         self._left_at_start = left_ms
         self._deadline = Millis(now + min(left_ms, route.timeout_ms))
+        waited_ms = forwarder.patience.waited_ms(route.name, left_ms, now)
+        self._objective_at = Millis(now + route.objective_ms - waited_ms)
         self._idempotent = route.repeat is Repeat.IDEMPOTENT
         self._headers = self._host.edge.passed_headers(exchange.request)
         self._tried: list[Place] = []
@@ -190,7 +194,7 @@
             headers=self._headers,
             body=request.body,
             left_ms=round(self._deadline - now, 1),
-            objective_left_ms=round(self._started + self._route.objective_ms - now, 1),
+            objective_left_ms=round(self._objective_at - now, 1),
             priority=self._route.priority,
             idempotent=self._idempotent,
         )
