Call the store through one client

Ruled out: one class for both: egretd's stand-in has tags and positions where the users' store has revisions.

--- a/egretworks/objects.py
+++ b/egretworks/objects.py
@@ -8,15 +8,9 @@
 import msgspec
 import urllib3
 
-from egretworks.clock import seconds
-from egretworks.exceptions import (
-    ObjectConflict,
-    ObjectNotFound,
-    PlatformError,
-    PlatformUnavailable,
-    WatchCompacted,
-)
-from egretworks.types import ETag
+from egretworks.exceptions import PlatformError, PlatformUnavailable
+from egretworks.storecalls import StoreCalls
+from egretworks.types import ETag, parse_endpoint
 
 # The platform holds values up to this size.
 MAX_VALUE_BYTES = 1_000_000
@@ -67,11 +61,8 @@
     """Read and write the platform's objects at `address`, an IP number and port."""
 
     def __init__(self, address: str, *, timeout_ms: float = REQUEST_TIMEOUT_MS) -> None:
-        host, _, port = address.rpartition(":")
         self._timeout_ms = timeout_ms
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=4, block=False, retries=False
-        )
+        self._calls = StoreCalls(parse_endpoint(address))
 
     def read(self, kind: str, name: str) -> StoredObject:
         """Return the object, or raise `ObjectNotFound` or `PlatformUnavailable`."""
@@ -119,15 +110,9 @@
         headers: dict[str, str] | None = None,
         timeout_ms: float | None = None,
     ) -> urllib3.BaseHTTPResponse:
-        timeout = seconds(timeout_ms or self._timeout_ms)
-        try:
-            response = self._pool.request(
-                method, path, body=body, headers=headers, timeout=timeout, redirect=False
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise PlatformUnavailable(f"{method} {path}: {error}") from error
-        _check_status(response, method, path)
-        return response
+        return self._calls.call(
+            method, path, timeout_ms or self._timeout_ms, body=body, headers=headers
+        )
 
     def _decode(self, data: bytes, kind: type) -> msgspec.Struct:
         try:
@@ -140,21 +125,6 @@
     return f"/v1/objects/{quote(kind)}/{quote(name, safe='')}"
 
 
-def _check_status(response: urllib3.BaseHTTPResponse, method: str, path: str) -> None:
-    if response.status < 300:
-        return
-    reason = f"{method} {path}: status {response.status}"
-    if response.status == 404:
-        raise ObjectNotFound(reason)
-    if response.status == 412:
-        raise ObjectConflict(reason)
-    if response.status == 410:
-        raise WatchCompacted(reason)
-    if response.status >= 500 or response.status == 429:
-        raise PlatformUnavailable(reason)
-    raise PlatformError(reason)
-
-
 def dump(document: msgspec.Struct) -> bytes:
     """Encode `document` as the JSON value of an object."""
     return msgspec.json.encode(document)
--- /dev/null
+++ b/egretworks/storecalls.py
@@ -0,0 +1,62 @@
+"""Call the platform's store over HTTP on kept connections."""
+
+from __future__ import annotations
+
+import urllib3
+
+from egretworks.clock import seconds
+from egretworks.exceptions import (
+    ObjectConflict,
+    ObjectNotFound,
+    PlatformError,
+    PlatformUnavailable,
+    WatchCompacted,
+)
+from egretworks.types import Endpoint
+
+MOST_IDLE_CONNECTIONS = 4
+
+_ERROR_BY_STATUS = {
+    404: ObjectNotFound,
+    409: ObjectConflict,
+    410: WatchCompacted,
+    412: ObjectConflict,
+    429: PlatformUnavailable,
+}
+
+
+class StoreCalls:
+    """Make calls to the store at `endpoint`."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        # Whether a call may be repeated is for the caller to decide.
+        self._pool = urllib3.HTTPConnectionPool(
+            endpoint.host, endpoint.port, maxsize=MOST_IDLE_CONNECTIONS, block=False, retries=False
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the answer to a call that succeeded, or raise a `PlatformError`."""
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                timeout=seconds(timeout_ms),
+                redirect=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise PlatformUnavailable(f"{method} {path}: {error}") from error
+        if response.status < 300:
+            return response
+        kind = PlatformUnavailable if response.status >= 500 else PlatformError
+        kind = _ERROR_BY_STATUS.get(response.status, kind)
+        raise kind(f"{method} {path}: status {response.status}")
