Remember refusals for a moment instead of asking every full target

Change: a refusal for want of room is remembered up to 40 ms by target and route; further requests of the route go to targets without one, or to the best of all if each has one. Only what a request still in time was told counts, as late ones are put behind the rest.

--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -28,6 +28,7 @@
     Lost,
     Offer,
     Outcome,
+    RefusalReason,
     Refused,
 )
 from egretworks.meshroutes import MeshRoute, Splitter
@@ -35,6 +36,7 @@
 from egretworks.patience import CallerPatience
 from egretworks.picking import pick
 from egretworks.places import Place
+from egretworks.refusals import RecentRefusals
 from egretworks.streams import after
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
@@ -46,6 +48,9 @@
 MOST_OFFERS = 4
 # Another attempt with less time than this left can't be useful.
 LEAST_USEFUL_MS = 20.0
+# What a gate says to a request with less than this share of its objective left doesn't hold for
+# others, as a gate puts requests that will be late behind the rest.
+STILL_NEW_SHARE = 0.3
 LEAST_RETRY_AFTER_MS = 30.0
 # Callers honour a pause of up to a third of the time they have left.
 MOST_RETRY_AFTER_SHARE = 0.33
@@ -77,6 +82,7 @@
         self.host = host
         self.splitter = Splitter(host.random.random())
         self.patience = CallerPatience()
+        self.refusals = RecentRefusals()
         self.budget_by_service: dict[ServiceName, AttemptBudget] = {}
         self.in_hand = 0
 
@@ -159,7 +165,8 @@
     def offer_next(self) -> None:
         """Offer the request to the best target that hasn't turned it away."""
         now = self._host.clock.now()
-        places = [place for place in self._host.places(self._service) if place not in self._tried]
+        untried = self._untried()
+        places = self._with_room(untried) or untried
         index = pick((place.prospect(now) for place in places), self._host.random)
         if index is None or self._deadline - now < 1:
             self._refuse(UNREADY_RETRY_AFTER_MS, "no target takes requests")
@@ -221,12 +228,13 @@
         self._deliver(outcome)
 
     def _on_refused(self, outcome: Refused) -> None:
+        self._note_busy(outcome)
         if outcome.arrived:
             self._arrivals += 1
             again = self._may_attempt_again()
         else:
-            again = self._offers < MOST_OFFERS
-        if again and self._has_untried():
+            again = self._offers < MOST_OFFERS and self._with_room(self._untried())
+        if again:
             self.offer_next()
         else:
             self._refuse(outcome.wait_ms, outcome.reason.name.lower())
@@ -244,7 +252,7 @@
     def _may_attempt_again(self) -> bool:
         """Return whether another target may get the request, and spend the budget for it."""
         now = self._host.clock.now()
-        if self._arrivals >= self._route.max_attempts or not self._has_untried():
+        if self._arrivals >= self._route.max_attempts or not self._untried():
             return False
         if self._deadline - now < LEAST_USEFUL_MS:
             return False
@@ -252,8 +260,22 @@
         self._host.metrics.count("attempts_again" if allowed else "attempts_over_budget")
         return allowed
 
-    def _has_untried(self) -> bool:
-        return any(place not in self._tried for place in self._host.places(self._service))
+    def _untried(self) -> list[Place]:
+        return [place for place in self._host.places(self._service) if place not in self._tried]
+
+    def _note_busy(self, outcome: Refused) -> None:
+        """Remember a refusal that other requests of the route would get as well."""
+        now = self._host.clock.now()
+        in_time = self._objective_at - now >= self._route.objective_ms * STILL_NEW_SHARE
+        if outcome.reason is RefusalReason.BUSY and in_time:
+            place = self._tried[-1].name
+            self._forwarder.refusals.note(place, self._route.name, outcome.wait_ms, now)
+
+    def _with_room(self, places: list[Place]) -> list[Place]:
+        """Return those of `places` that haven't just refused a request of the route."""
+        now, refusals = self._host.clock.now(), self._forwarder.refusals
+        route = self._route.name
+        return [place for place in places if not refusals.is_busy(place.name, route, now)]
 
     def _on_deadline(self) -> None:
         if self._cancel is not None:
