Bound the bodies that a daemon holds, and say 413 and 431

Change: heldbytes.py counts what callers announce or send and what offers bring, up to a quarter of the memory in the settings; beyond it a request gets 503 with Retry-After (gates refuse). Header limits come from the configuration. After an answer to a request that isn't read further the connection lingers a second, since closing it would reset it and could lose the answer. Not bounded: answers of targets (64 MB each) and frames that are still coming in.

--- a/egretworks/config.py
+++ b/egretworks/config.py
@@ -161,6 +161,9 @@
         PositiveMs,
         Meta(description="Longest time that an acknowledged leaving target gets requests, in ms."),
     ]
+    memory_mb: Annotated[
+        float, Meta(gt=0, description="Memory that the platform allows the process, in MB.")
+    ]
     grace_ms: Annotated[
         PositiveMs, Meta(description="Time from SIGTERM until the platform kills, in ms.")
     ]
--- a/egretworks/exceptions.py
+++ b/egretworks/exceptions.py
@@ -121,6 +121,20 @@
     not_run = True
 
 
+class HeadersTooLarge(BadRequest):
+    """Report a request whose headers are over the limit."""
+
+    code = "call.headers_too_large"
+    http_status = 431
+
+
+class BodyTooLarge(BadRequest):
+    """Report a request whose body is over the limit."""
+
+    code = "call.body_too_large"
+    http_status = 413
+
+
 class NoRoute(CallError):
     """Report a request that no route in force matches."""
 
@@ -145,6 +159,12 @@
     not_run = True
 
 
+class BodiesInHand(Overloaded):
+    """Report a request whose body isn't read, as the daemon holds too many bytes already."""
+
+    code = "call.bodies_in_hand"
+
+
 class TargetRefused(CallError):
     """Report a target that says it did not run the request."""
 
--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -11,6 +11,7 @@
 from egretworks.configholder import ConfigHolder
 from egretworks.forwarding import Forwarder
 from egretworks.gate import Gate
+from egretworks.heldbytes import HeldBytes
 from egretworks.metrics import Gauge
 from egretworks.rows import RowTable
 from egretworks.types import ServiceName
@@ -24,6 +25,7 @@
     rows: RowTable
     config: ConfigHolder
     forwarder: Forwarder
+    bodies: HeldBytes
     # Returns how many links to other daemons take offers.
     links_up: Callable[[], int]
     # Returns how many log lines were dropped since the start.
@@ -37,6 +39,7 @@
     yield Gauge("gate_running", "requests at the own target", queue.running)
     yield Gauge("gate_waiting", "requests waiting for the own target", queue.load - queue.running)
     yield Gauge("calls_in_hand", "requests of callers not answered yet", sources.forwarder.in_hand)
+    yield Gauge("bodies_held_bytes", "bytes of request bodies in hand", sources.bodies.held)
     yield Gauge("config_version", "version in force, 0 for none", sources.config.version)
     yield Gauge("daemons_known", "daemons of the mesh, with this one", sources.rows.size)
     yield Gauge("links_up", "links to other daemons that take offers", sources.links_up())
--- a/egretworks/httpport.py
+++ b/egretworks/httpport.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from egretworks.clock import Clock, Millis
-from egretworks.exceptions import BadRequest
+from egretworks.exceptions import CallError
+from egretworks.heldbytes import HeldBytes
 from egretworks.httpwire import (
     Request,
     RequestReader,
@@ -17,6 +18,9 @@
 from egretworks.streams import Listener, Stream
 from egretworks.types import Endpoint
 
+# A caller whose request isn't read to its end has this long to take the answer.
+LINGER_MS = 1_000
+
 
 class HttpExchange:
     """Hold one request until it is answered."""
@@ -41,8 +45,10 @@
         clock: Clock,
         limits: Callable[[], CallerLimits],
         serve: Callable[[HttpExchange], None],
+        bodies: HeldBytes,
     ) -> None:
         self._clock = clock
+        self.bodies = bodies
         self.limits = limits
         self.serve = serve
         self._connections: set[_Connection] = set()
@@ -89,7 +95,12 @@
     def __init__(self, port: HttpPort, stream: Stream) -> None:
         self._port = port
         self._stream = stream
-        self._reader = RequestReader(port.limits().max_body_bytes)
+        limits = port.limits()
+        self._reader = RequestReader(limits.max_body_bytes, limits.max_header_bytes, self._take)
+        # Bytes of bodies that this connection's requests hold.
+        self._held = 0
+        # An answer to a request that isn't read further has been sent.
+        self._lingering = False
         self._exchange: HttpExchange | None = None
         self._since = port.now()
         stream.start(self)
@@ -97,19 +108,20 @@
     @property
     def busy(self) -> bool:
         """Return whether a request is in hand or has begun to arrive."""
-        return self._exchange is not None or self._reader.begun
+        return self._exchange is not None or (self._reader.begun and not self._lingering)
 
     def answer(self, exchange: HttpExchange, response: Response) -> None:
         """Send the answer to the request in hand and go on to the next."""
         if exchange is not self._exchange:
             return
         self._exchange = None
+        self._give_back(len(exchange.request.body))
         if self._port.closing:
             response.keep_alive = False
         self._stream.write(encode_response(response, exchange.request))
         self._since = self._port.now()
         if not (exchange.request.keep_alive and response.keep_alive):
-            self._port.forget(self)
+            self._forget()
             self._stream.close_when_sent()
             return
         self._begin_next()
@@ -118,22 +130,27 @@
         """Close the connection if its caller is too slow or idle for long."""
         if self._exchange is not None:
             return
-        allowed_ms = limits.header_timeout_ms if self._reader.begun else limits.idle_timeout_ms
+        if self._lingering:
+            allowed_ms = LINGER_MS
+        else:
+            allowed_ms = limits.header_timeout_ms if self._reader.begun else limits.idle_timeout_ms
         if now - self._since > allowed_ms:
             self.close()
 
     def close(self) -> None:
         """Close the connection."""
-        self._port.forget(self)
+        self._forget()
         self._stream.close()
 
     def on_data(self, data: bytes) -> None:
         """Take in bytes from the caller."""
+        if self._lingering:
+            return
         if not self._reader.begun:
             self._since = self._port.now()
         try:
             self._reader.feed(data)
-        except BadRequest as error:
+        except CallError as error:
             self._refuse(error)
             return
         if self._reader.expects_continue:
@@ -143,7 +160,7 @@
 
     def on_end(self, *, clean: bool) -> None:
         """Note that the caller has gone."""
-        self._port.forget(self)
+        self._forget()
         exchange, self._exchange = self._exchange, None
         if exchange is not None and exchange.on_gone is not None:
             exchange.on_gone()
@@ -154,11 +171,29 @@
             self._exchange = HttpExchange(self, request)
             self._port.serve(self._exchange)
 
-    def _refuse(self, error: BadRequest) -> None:
-        """Answer bytes that aren't a request, and close."""
+    def _refuse(self, error: CallError) -> None:
+        """Answer a request that isn't read further, and close once its caller has gone.
+
+        Closing at once would reset the connection, and the answer could be lost with it.
+        """
         exchange, self._exchange = self._exchange, None
         if exchange is not None and exchange.on_gone is not None:
             exchange.on_gone()
-        self._port.forget(self)
+        self._give_back(self._held)
+        self._lingering = True
+        self._since = self._port.now()
         self._stream.write(encode_response(error_response(error), None))
-        self._stream.close_when_sent()
+
+    def _take(self, size: int) -> bool:
+        taken = self._port.bodies.take(size)
+        if taken:
+            self._held += size
+        return taken
+
+    def _give_back(self, size: int) -> None:
+        self._held -= size
+        self._port.bodies.give_back(size)
+
+    def _forget(self) -> None:
+        self._give_back(self._held)
+        self._port.forget(self)
--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -11,7 +11,14 @@
 import httptools
 import msgspec
 
-from egretworks.exceptions import BadRequest, CallError, OutcomeUnknown
+from egretworks.exceptions import (
+    BadRequest,
+    BodiesInHand,
+    BodyTooLarge,
+    CallError,
+    HeadersTooLarge,
+    OutcomeUnknown,
+)
 
 MAX_HEADER_BYTES = 32_768
 RECEIVE_BYTES = 65_536
@@ -82,8 +89,16 @@
 class RequestReader:
     """Assemble the requests of one connection, in bounded memory."""
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int,
+        max_header_bytes: int = MAX_HEADER_BYTES,
+        take: Callable[[int], bool] = lambda size: True,
+    ) -> None:
+        """Read requests within the limits; `take` is asked for leave to hold bytes of a body."""
         self._max_body_bytes = max_body_bytes
+        self._max_header_bytes = max_header_bytes
+        self._take = take
         self._parser = httptools.HttpRequestParser(self)
         self._ready: deque[Request] = deque()
         self._start()
@@ -94,7 +109,7 @@
         return self._begun
 
     def feed(self, data: bytes) -> None:
-        """Take in bytes, or raise `BadRequest`."""
+        """Take in bytes, or raise a `CallError`."""
         unread = 0 if self._headers_done else len(data)
         self._begun = True
         try:
@@ -102,7 +117,10 @@
         except httptools.HttpParserUpgrade as error:
             raise BadRequest("protocol upgrades aren't carried") from error
         except httptools.HttpParserCallbackError as error:
-            raise BadRequest(str(error.__context__ or error)) from error
+            cause = error.__context__
+            if isinstance(cause, CallError):
+                raise cause from None
+            raise BadRequest(str(cause or error)) from error
         except httptools.HttpParserError as error:
             raise BadRequest(f"the request can't be read: {error}") from error
         if self._begun and not self._headers_done:
@@ -124,6 +142,8 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # The body's length, or None where it comes in chunks or there is none.
+        self._announced: int | None = None
         self._header_bytes = 0
         self._headers_done = False
         self._begun = False
@@ -131,8 +151,8 @@
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
-        if self._header_bytes > MAX_HEADER_BYTES:
-            raise BadRequest(f"the headers are over {MAX_HEADER_BYTES} bytes")
+        if self._header_bytes > self._max_header_bytes:
+            raise HeadersTooLarge(f"the headers are over {self._max_header_bytes} bytes")
 
     # The parser calls these.
 
@@ -154,8 +174,11 @@
         """Refuse a body that is announced to be too large."""
         self._headers_done = True
         for name, value in self._headers:
-            if name == b"content-length" and int(value) > self._max_body_bytes:
-                raise BadRequest(f"the body is over {self._max_body_bytes} bytes")
+            if name == b"content-length":
+                self._announced = int(value)
+                if self._announced > self._max_body_bytes:
+                    raise BodyTooLarge(f"the body is over {self._max_body_bytes} bytes")
+                self._hold(self._announced)
             if name == b"expect" and value.lower() == b"100-continue":
                 self._expects_continue = True
 
@@ -163,9 +186,15 @@
         """Collect a part of the body."""
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
-            raise BadRequest(f"the body is over {self._max_body_bytes} bytes")
+            raise BodyTooLarge(f"the body is over {self._max_body_bytes} bytes")
+        if self._announced is None:
+            self._hold(len(data))
         self._body.append(data)
 
+    def _hold(self, size: int) -> None:
+        if size and not self._take(size):
+            raise BodiesInHand("the bodies in hand leave no room for this one")
+
     def on_message_complete(self) -> None:
         """Make the request ready."""
         self._ready.append(
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -9,6 +9,7 @@
 from egretworks.clock import Clock
 from egretworks.configholder import ConfigHolder
 from egretworks.gate import Gate
+from egretworks.heldbytes import HeldBytes
 from egretworks.linkframes import Hello
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.timeline import Timeline
@@ -22,6 +23,8 @@
     rows: RowTable
     config: ConfigHolder
     gate: Gate
+    # The bodies that are in hand, of callers here and of offers from other daemons.
+    bodies: HeldBytes
     # Called with rows that are news.
     on_news: Callable[[list[DaemonRow]], None]
     # Called when the own row had to change.
--- a/egretworks/servedlinks.py
+++ b/egretworks/servedlinks.py
@@ -18,6 +18,7 @@
     Outcome,
     Ping,
     Pong,
+    RefusalReason,
     Rows,
     encode_frame,
 )
@@ -25,6 +26,9 @@
 from egretworks.streams import Stream
 from egretworks.types import InstanceId
 
+# A request that finds no room for its body may come back after this time.
+NO_ROOM_WAIT_MS = 100.0
+
 log = logging.getLogger(__name__)
 
 
@@ -90,14 +94,24 @@
             self._host.config.take_copy(frame, self._peer)
 
     def _take_offer(self, offer: Offer) -> None:
+        bodies, size = self._host.bodies, len(offer.body)
+        if not bodies.take(size):
+            self.tell(self._host.gate.refusal(offer, RefusalReason.BUSY, NO_ROOM_WAIT_MS))
+            return
         finished = False
 
         def reply(outcome: Outcome) -> None:
             nonlocal finished
             finished = True
+            bodies.give_back(size)
             self._cancel_by_serial.pop(offer.serial, None)
             self.tell(outcome)
 
-        cancel = self._host.gate.offer(offer, reply)
+        withdraw = self._host.gate.offer(offer, reply)
+
+        def cancel() -> None:
+            bodies.give_back(size)
+            withdraw()
+
         if not finished:
             self._cancel_by_serial[offer.serial] = cancel
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -23,6 +23,7 @@
 from egretworks.forwarding import Forwarder, ForwardHost
 from egretworks.gate import Gate, GateHost
 from egretworks.gauges import GaugeSources, read_gauges
+from egretworks.heldbytes import HeldBytes
 from egretworks.httpport import HttpExchange, HttpPort
 from egretworks.httpwire import Response, error_response
 from egretworks.linkframes import Rows
@@ -48,6 +49,8 @@
 # Left of the grace time when the daemon ends what is still open.
 LEAST_GRACE_LEFT_MS = 700
 DRAIN_POLL_MS = 25
+# Part of the process's memory that bodies of requests may take.
+BODIES_SHARE = 0.25
 
 log = logging.getLogger(__name__)
 
@@ -99,6 +102,7 @@
                 self._on_target_changed,
             )
         )
+        self._bodies = HeldBytes(int(settings.bounds.memory_mb * 1_000_000 * BODIES_SHARE))
         self._local_place = LocalPlace(self._gate, own.id)
         self._link_host = LinkHost(
             self._clock,
@@ -106,6 +110,7 @@
             self._rows,
             self._config,
             self._gate,
+            self._bodies,
             self._on_news,
             self._publish,
         )
@@ -118,6 +123,7 @@
             self._rows,
             self._config,
             self._forwarder,
+            self._bodies,
             lambda: sum(link.usable for link in self._links_by_id.values()),
             lambda: log_handler.dropped,
         )
@@ -162,20 +168,24 @@
     def _open_ports(self) -> None:
         listen = self._settings.listen
         host = self._settings.instance.host
-        clock, limits = self._clock, lambda: self._config.limits
+        clock, limits, bodies = self._clock, lambda: self._config.limits, self._bodies
         try:
             self._ready_port = HttpPort(
-                parse_endpoint(listen.ready), clock, limits, self._serve_ready
+                parse_endpoint(listen.ready), clock, limits, self._serve_ready, bodies
             )
             self._announcement_port = HttpPort(
-                parse_endpoint(listen.announcements), clock, limits, self._serve_announcement
+                parse_endpoint(listen.announcements),
+                clock,
+                limits,
+                self._serve_announcement,
+                bodies,
             )
             self._call_port = HttpPort(
-                parse_endpoint(listen.calls), clock, limits, self._forwarder.serve
+                parse_endpoint(listen.calls), clock, limits, self._forwarder.serve, bodies
             )
             self._link_listener = Listener(Endpoint(host, listen.link_port), self._accept_link)
             self._metrics_port = HttpPort(
-                Endpoint(host, listen.metrics_port), clock, limits, self._serve_metrics
+                Endpoint(host, listen.metrics_port), clock, limits, self._serve_metrics, bodies
             )
         except OSError as error:
             raise SettingsError(f"a port can't be opened: {error}") from error
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -25,6 +25,7 @@
 address = "127.0.0.1:{store}"
 
 [bounds]
+memory_mb = 100
 drain_ms = 2000
 grace_ms = 6000
 retry_ratio = 0.2
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -326,3 +326,65 @@
     wait_for(
         lambda: gauges()['egret_targets_serving{service="ledger"}'] == 0, "the target's leaving"
     )
+
+
+def raw_call(sidecar, head, body=b"", wait_s=3):
+    """Send `head` and `body` and return all that the daemon answers within `wait_s`."""
+    with socket.create_connection(("127.0.0.1", sidecar.ports["calls"])) as sock:
+        sock.settimeout(wait_s)
+        sock.sendall(head.replace(b"\n", b"\r\n") + body)
+        data = b""
+        try:
+            while b"\r\n\r\n" not in data:
+                part = sock.recv(65_536)
+                if not part:
+                    break
+                data += part
+        except TimeoutError:
+            pass
+        return data
+
+
+POST_HEAD = b"POST /give/x HTTP/1.1\nHost: pool.example\nX-Egret-Attempt-Id: %s\n"
+
+
+def test_bodies_that_would_exceed_the_memory_are_refused_and_the_room_comes_back(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    # A quarter of 100 MB is for bodies; what is announced counts before it comes.
+    head = POST_HEAD % b"big1" + b"Content-Length: 20000000\n\n"
+    first = socket.create_connection(("127.0.0.1", portal.ports["calls"]))
+    first.sendall(head.replace(b"\n", b"\r\n") + b"x" * 1_000)
+    time.sleep(0.3)
+    second = raw_call(portal, POST_HEAD % b"big2" + b"Content-Length: 20000000\n\n", b"y" * 500_000)
+    assert second.startswith(b"HTTP/1.1 503") and b"Retry-After" in second
+    assert portal.call("/give/x", method="POST", id="small", body=b"gift")[0] == 200
+    first.close()
+    wait_for(
+        lambda: b"egret_bodies_held_bytes 0.0"
+        in ask(portal.ports["metrics"], "GET", "/metrics")[2],
+        "the room to come back",
+    )
+    assert set(ledger.target.runs) == {"small"}
+
+
+def test_too_large_headers_and_bodies_get_their_own_statuses(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    wide = POST_HEAD % b"h" + b"X-Wide: " + b"w" * 20_000 + b"\nContent-Length: 0\n\n"
+    assert raw_call(portal, wide).startswith(b"HTTP/1.1 431")
+    long = POST_HEAD % b"b" + b"Content-Length: 70000000\n\n"
+    assert raw_call(portal, long, b"z" * 200_000).startswith(b"HTTP/1.1 413")
+    assert ledger.target.runs == []
+
+
+def test_a_crowd_is_refused_without_asking_every_full_target_for_each_request(sidecars):
+    caller, one, two = sidecars.start("ledger", "portal", "portal")
+    for portal in (one, two):
+        portal.target.work_ms = 400
+    statuses = post_many(caller, 60, path="/view/x", method="GET", left_ms=2_000)
+    refused = [id for id, status in statuses.items() if status == 503]
+    offers = 0
+    for portal in (one, two):
+        page = ask(portal.ports["metrics"], "GET", "/metrics")[2].decode()
+        offers += float(re.search(r"gate_refused_busy_total ([0-9.]+)", page)[1])
+    assert len(refused) > 30
+    assert offers < 1.7 * len(refused)
