Let nobody wait long in a queue that stays full

Change: a queue in which requests of an urgency have been waiting for 150 ms without a break gives a request a fifth of its objective to wait; what doesn't fit is refused at once. Ruled out: newest first, which lets those passed over wait and then refuses them late.

--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -18,6 +18,11 @@
 # or this much if its caller has too little time left to come back after a refusal.
 LAST_CHANCE_WAIT_MS = 150.0
 LAST_CHANCE_LEFT_MS = 600.0
+# A queue that hasn't been empty for this long gets more than its target can do. Waiting longer
+# then only makes every answer late, so that
+PRESSED_AFTER_MS = 150.0
+# a request waits for this part of its objective at most.
+PRESSED_WAIT_SHARE = 0.2
 
 
 class QueueEntry(msgspec.Struct, eq=False):
@@ -72,6 +77,8 @@
         self.work = WorkTimes()
         self._waiting: list[QueueEntry] = []
         self._running = 0
+        # Since when requests at least as urgent as a priority have been waiting all the time.
+        self._waiting_since: dict[int, Millis] = {}
 
     @property
     def load(self) -> int:
@@ -88,7 +95,7 @@
         if self._running < self.slots and not self._waiting:
             self._running += 1
             return Verdict(run=True)
-        entry.latest_start = self._latest_start(entry)
+        entry.latest_start = self._latest_start(entry, now)
         late_ms = now + self._wait_of(entry, now) - entry.latest_start
         if late_ms > 0:
             return Verdict(room_in_ms=late_ms)
@@ -141,7 +148,20 @@
                 ahead_ms += self.work.of(waiting.route)
         return ahead_ms / max(1, self.slots)
 
-    def _latest_start(self, entry: QueueEntry) -> Millis:
+    def _is_pressed(self, priority: int, now: Millis) -> bool:
+        """Return whether requests at least as urgent as `priority` have been waiting for long."""
+        if all(waiting.priority > priority for waiting in self._waiting):
+            self._waiting_since[priority] = now
+        return now - self._waiting_since.setdefault(priority, now) > PRESSED_AFTER_MS
+
+    def _latest_start(self, entry: QueueEntry, now: Millis) -> Millis:
+        latest = self._latest_useful_start(entry)
+        if self._is_pressed(entry.priority, now):
+            left_ms = max(0.0, entry.objective_at - entry.arrived)
+            return Millis(min(latest, entry.arrived + left_ms * PRESSED_WAIT_SHARE))
+        return latest
+
+    def _latest_useful_start(self, entry: QueueEntry) -> Millis:
         work_ms = self.work.of(entry.route)
         in_time = max(entry.arrived, entry.objective_at - work_ms * SAFE_WORK_FACTOR)
         last_chance = entry.expires_at - entry.arrived < LAST_CHANCE_LEFT_MS
--- a/tests/test_gatequeue.py
+++ b/tests/test_gatequeue.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from egretworks.gatequeue import GateQueue, QueueEntry
+from egretworks.gatequeue import PRESSED_AFTER_MS, GateQueue, QueueEntry
 
 
 def entry(priority=1, arrived=0.0, objective=500.0, expires=1_000.0, route="r"):
@@ -131,3 +131,28 @@
 
 
 TestGateMachine = GateMachine.TestCase
+
+
+def arriving(at, priority=1):
+    return entry(priority, arrived=at, objective=at + 500.0, expires=at + 1_000.0)
+
+
+def test_a_queue_that_stays_full_lets_nobody_wait_long():
+    queue = busy_queue(slots=1)
+    # At first a request may wait as long as it can still be in time.
+    assert queue.enter(arriving(1.0), 1.0).wait
+    later = PRESSED_AFTER_MS + 10.0
+    refused = queue.enter(arriving(later), later)
+    assert not refused.wait and refused.room_in_ms > 0
+    # A more urgent one finds nobody of its urgency waiting.
+    assert queue.enter(arriving(later, priority=0), later).wait
+
+
+def test_a_queue_that_has_been_empty_is_patient_again():
+    queue = busy_queue(slots=1)
+    assert queue.enter(arriving(1.0), 1.0).wait
+    queue.leave()
+    assert queue.admit(20.0) is not None
+    later = PRESSED_AFTER_MS + 10.0
+    assert queue.enter(arriving(later), later).wait
+    assert queue.enter(arriving(later + 1), later + 1).wait
