Ask what became of a request when a link breaks

Change: the serving end takes back what still waits and keeps the outcomes of the rest (fates.py); the calling end, once connected again within 700 ms, asks by number. What is numbered above all that have come never came, and can't any more, since the earlier links of that daemon are closed before the answer; anything else that isn't kept may have run and stays lost. Ruled out: calling every unknown number not run: an answer may have been lost on its way back.

--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -10,7 +10,7 @@
 from egretworks.clock import Clock, Millis
 from egretworks.edge import Departure, Edge, Heartbeat
 from egretworks.gatequeue import GateQueue, QueueEntry
-from egretworks.gatework import NOT_SERVING_WAIT_MS, CancelCall, GateWork, Reply
+from egretworks.gatework import NOT_SERVING_WAIT_MS, CancelCall, Ended, GateWork, Offered, Reply
 from egretworks.httpwire import Response
 from egretworks.linkframes import GateReport, Offer, RefusalReason, Refused
 from egretworks.metrics import Metrics
@@ -125,13 +125,13 @@
         self.host.metrics.count("health_checks")
         self._link.send(Exchange("GET", data, HEALTH_TIMEOUT_MS, lambda _: True, done))
 
-    def offer(self, offer: Offer, reply: Reply) -> CancelCall:
-        """Take `offer` and tell `reply` its outcome once; returns how to take the offer back."""
+    def offer(self, offer: Offer, reply: Reply) -> Offered:
+        """Take `offer` and tell `reply` its outcome once; returns what takes the offer back."""
         now = self.host.clock.now()
         view = self._book.current
         if view is None or not view.takes(now) or view.service != offer.service or self.stopping:
             reply(self.refusal(offer, RefusalReason.NOT_SERVING, NOT_SERVING_WAIT_MS))
-            return _nothing
+            return Ended()
         entry = QueueEntry(
             offer.route,
             offer.priority,
@@ -148,8 +148,8 @@
             self._sweep_soon()
         else:
             reply(self.refusal(offer, RefusalReason.BUSY, verdict.room_in_ms))
-            return _nothing
-        return work.cancel
+            return Ended()
+        return work
 
     def refusal(
         self, offer: Offer, reason: RefusalReason, wait_ms: float, *, arrived: bool = False
@@ -265,7 +265,3 @@
             self._admit()
         if self._work_by_entry:
             self._sweep_soon()
-
-
-def _nothing() -> None:
-    """Cancel an offer that has ended."""
--- a/egretworks/gatework.py
+++ b/egretworks/gatework.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from egretworks.clock import Millis
 from egretworks.edge import TargetHead
@@ -32,6 +32,27 @@
 CancelCall = Callable[[], None]
 
 
+class Offered(Protocol):
+    """Take an offer back."""
+
+    def cancel(self) -> None:
+        """Stop what can be stopped, as nobody waits for the outcome."""
+
+    def withdraw(self) -> bool:
+        """Take the request back if it hasn't been handed over; return whether that was so."""
+
+
+class Ended:
+    """Stand for an offer that has ended."""
+
+    def cancel(self) -> None:
+        """Do nothing, as there is nothing to stop."""
+
+    def withdraw(self) -> bool:
+        """Return that there is nothing to take back."""
+        return False
+
+
 class GateWork:
     """Carry one offer through the queue and the exchange with the target."""
 
@@ -78,6 +99,13 @@
         """Tell that the request was never handed over."""
         self._tell(self._gate.refusal(self._offer, reason, wait_ms))
 
+    def withdraw(self) -> bool:
+        """Take the request back if it hasn't been handed over; return whether that was so."""
+        if self._reply is None or not self._gate.withdraw(self._entry):
+            return False
+        self._reply = None
+        return True
+
     def cancel(self) -> None:
         """Stop what can be stopped, as nobody waits for the outcome."""
         if self._reply is None:
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -139,6 +139,12 @@
     document: bytes
 
 
+class FatesAsked(msgspec.Struct, array_like=True, frozen=True, tag=12):
+    """Ask what became of offers that were open when an earlier link broke."""
+
+    serials: list[int]
+
+
 Outcome = Answered | Refused | Lost
 Frame = (
     Hello
@@ -152,6 +158,7 @@
     | Rows
     | ConfigAsked
     | ConfigCopy
+    | FatesAsked
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/egretworks/peerlinks.py
+++ b/egretworks/peerlinks.py
@@ -14,6 +14,7 @@
     Cancel,
     ConfigAsked,
     ConfigCopy,
+    FatesAsked,
     Frame,
     FrameReader,
     GateReport,
@@ -49,9 +50,16 @@
 RECONNECT_MOST_MS = 1_500
 # A peer that doesn't read gets no further offers over this much unsent.
 MOST_UNSENT_BYTES = 4_000_000
+# A peer is asked what became of a request within this time after its link has broken.
+SETTLE_MS = 700
 UNKNOWN_REPORT = GateReport(slots=0, load=0, work_ms=0.0)
 
 
+class _Sent(msgspec.Struct, frozen=True):
+    reply: Reply
+    idempotent: bool
+
+
 class PeerLink:
     """Offer requests to the target beside another daemon, over one connection that is kept."""
 
@@ -64,7 +72,10 @@
         self._connecting: Callable[[], None] | None = None
         self._ready = False
         self._serial = 0
-        self._reply_by_serial: dict[int, Reply] = {}
+        self._sent_by_serial: dict[int, _Sent] = {}
+        # What was open when the link broke and may run only once: the peer is asked about it.
+        self._unsettled: dict[int, _Sent] = {}
+        self._settle_until = Millis(0)
         self._report = UNKNOWN_REPORT
         # What others have at the target, as of the last report.
         self._load_of_others = 0
@@ -89,11 +100,12 @@
         """Send a request to the daemon beside the target."""
         self._serial += 1
         serial = self._serial
-        self._reply_by_serial[serial] = reply
+        self._sent_by_serial[serial] = _Sent(reply, offer.idempotent)
         self._send(msgspec.structs.replace(offer, serial=serial))
 
         def cancel() -> None:
-            if self._reply_by_serial.pop(serial, None) is not None:
+            self._unsettled.pop(serial, None)
+            if self._sent_by_serial.pop(serial, None) is not None:
                 self._send(Cancel(serial))
 
         return cancel
@@ -104,7 +116,7 @@
         target = self.row.target
         suspect = self._pinged_at is not None and now - self._pinged_at > SUSPECT_MS
         return Prospect(
-            self._load_of_others + len(self._reply_by_serial),
+            self._load_of_others + len(self._sent_by_serial),
             report.slots or (target.slots if target else 1),
             report.work_ms or 60.0,
             report.failing_percent,
@@ -120,6 +132,8 @@
 
     def tick(self, now: Millis) -> None:
         """Connect, ask for a sign of life or give the link up, as is due."""
+        if self._unsettled and now > self._settle_until:
+            self._lose_unsettled()
         if self._stream is None:
             if self._connecting is None and now >= self._try_at:
                 self._connecting = connect(
@@ -135,7 +149,7 @@
 
     def _needs_ping(self, now: Millis) -> bool:
         """Return whether the peer is silent, or hasn't told its version for a while."""
-        silent = bool(self._reply_by_serial) and now - self._heard_at > BUSY_PING_MS
+        silent = bool(self._sent_by_serial) and now - self._heard_at > BUSY_PING_MS
         return silent or now - self._last_ping > PING_MS
 
     def reconnect_soon(self) -> None:
@@ -149,6 +163,7 @@
             self._connecting()
             self._connecting = None
         self._break("it is no longer wanted")
+        self._lose_unsettled()
 
     def on_data(self, data: bytes) -> None:
         """Take in bytes from the peer."""
@@ -216,17 +231,18 @@
         self._ready = True
         self._failures = 0
         self._host.timeline.record("link_up", target=self.row.id)
+        self._ask_fates()
         self._host.config.note_peer(hello.config_version, self)
 
     def _finish(self, outcome: Outcome) -> None:
-        reply = self._reply_by_serial.pop(outcome.serial, None)
+        sent = self._sent_by_serial.pop(outcome.serial, None)
         self._note_report(outcome.report)
-        if reply is not None:
-            reply(outcome)
+        if sent is not None:
+            sent.reply(outcome)
 
     def _note_report(self, report: GateReport) -> None:
         self._report = report
-        self._load_of_others = max(0, report.load - len(self._reply_by_serial))
+        self._load_of_others = max(0, report.load - len(self._sent_by_serial))
 
     def _break(self, reason: str) -> None:
         stream, self._stream = self._stream, None
@@ -241,6 +257,23 @@
             self._ready = False
             self._try_at = now
             self._host.timeline.record("link_down", target=self.row.id, detail=reason)
-        replies, self._reply_by_serial = self._reply_by_serial, {}
-        for serial, reply in replies.items():
-            reply(Lost(serial, LossReason.LINK_LOST, self._report))
+        sents, self._sent_by_serial = self._sent_by_serial, {}
+        for serial, sent in sents.items():
+            if sent.idempotent:
+                sent.reply(Lost(serial, LossReason.LINK_LOST, self._report))
+            else:
+                self._unsettled[serial] = sent
+                self._settle_until = Millis(now + SETTLE_MS)
+
+    def _lose_unsettled(self) -> None:
+        """Tell that nobody knows what became of the requests that were open."""
+        sents, self._unsettled = self._unsettled, {}
+        for serial, sent in sents.items():
+            sent.reply(Lost(serial, LossReason.LINK_LOST, self._report))
+
+    def _ask_fates(self) -> None:
+        """Ask what became of the requests that were open when the link broke."""
+        if self._unsettled:
+            sents, self._unsettled = self._unsettled, {}
+            self._sent_by_serial.update(sents)
+            self._send(FatesAsked(list(sents)))
--- a/egretworks/places.py
+++ b/egretworks/places.py
@@ -35,7 +35,7 @@
 
     def offer(self, offer: Offer, reply: Reply) -> CancelCall:
         """Offer a request to the gate."""
-        return self._gate.offer(offer, reply)
+        return self._gate.offer(offer, reply).cancel
 
     def prospect(self, _now: Millis) -> Prospect:
         """Return how the target stands."""
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -20,6 +20,7 @@
 from egretworks.configholder import ConfigHolder
 from egretworks.edge import Edge, Heartbeat
 from egretworks.exceptions import BadRequest, SettingsError
+from egretworks.fates import Fates
 from egretworks.forwarding import Forwarder, ForwardHost
 from egretworks.gate import Gate, GateHost
 from egretworks.gauges import GaugeSources, read_gauges
@@ -111,11 +112,12 @@
             self._config,
             self._gate,
             self._bodies,
+            Fates(self._clock),
+            set(),
             self._on_news,
             self._publish,
         )
         self._links_by_id: dict[InstanceId, PeerLink] = {}
-        self._served: set[ServedLink] = set()
         self._forwarder = Forwarder(self._forward_host())
         self._gauge_sources = GaugeSources(
             self._clock,
@@ -240,7 +242,7 @@
         exchange.answer(Response(200, [(b"Content-Type", b"text/plain")], body))
 
     def _accept_link(self, stream: Stream) -> None:
-        self._served.add(ServedLink(self._link_host, stream, self._served.discard))
+        ServedLink(self._link_host, stream)
 
     def _on_config(self) -> None:
         self._gate.check_unconfirmed()
@@ -253,7 +255,7 @@
         frame = Rows([row])
         for link in self._links_by_id.values():
             link.tell(frame)
-        for served in self._served:
+        for served in self._link_host.served:
             served.tell(frame)
 
     def _on_news(self, rows: list[DaemonRow]) -> None:
@@ -362,7 +364,7 @@
         self._timeline.record(
             "stopped", detail=f"calls={self._forwarder.in_hand} runs={self._gate.running}"
         )
-        for served in list(self._served):
+        for served in list(self._link_host.served):
             served.close()
         self._stopped.send()
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,284 @@
+"""Prove what daemons tell each other of requests whose link breaks, without any socket."""
+
+import pytest
+
+from egretworks import peerlinks
+from egretworks.clock import Millis
+from egretworks.fates import Fates
+from egretworks.heldbytes import HeldBytes
+from egretworks.linkframes import (
+    Answered,
+    GateReport,
+    LossReason,
+    Lost,
+    Offer,
+    RefusalReason,
+    Refused,
+)
+from egretworks.linkhost import LinkHost
+from egretworks.peerlinks import SETTLE_MS, PeerLink
+from egretworks.rows import DaemonRow, RowTable
+from egretworks.servedlinks import ServedLink
+
+REPORT = GateReport(slots=4, load=0, work_ms=10.0)
+
+
+class FakeClock:
+    def __init__(self):
+        self.at = 1_000.0
+
+    def now(self):
+        return Millis(self.at)
+
+
+class FakeTimeline:
+    def record(self, kind, **facts):
+        pass
+
+
+class FakeConfig:
+    version = 1
+
+    def note_peer(self, version, peer):
+        pass
+
+
+class FakeGate:
+    """Keep what is offered until the test says what becomes of it."""
+
+    def __init__(self):
+        self.offers = []
+
+    def offer(self, offer, reply):
+        offered = FakeOffered(offer, reply)
+        self.offers.append(offered)
+        return offered
+
+    def report(self):
+        return REPORT
+
+    def refusal(self, offer, reason, wait_ms):
+        return Refused(offer.serial, reason, wait_ms, False, REPORT)
+
+
+class FakeOffered:
+    def __init__(self, offer, reply):
+        self.offer, self.reply = offer, reply
+        self.waits = self.cancelled = False
+
+    def cancel(self):
+        self.cancelled = True
+
+    def withdraw(self):
+        return self.waits
+
+    def answer(self):
+        self.reply(Answered(self.offer.serial, 200, [], b"done", REPORT))
+
+
+class Pipe:
+    """Join two ends; bytes arrive when the test delivers them."""
+
+    def __init__(self):
+        self.ends = [PipeEnd(self, 0), PipeEnd(self, 1)]
+        self.waiting = []
+
+    def deliver(self):
+        while self.waiting:
+            end, data = self.waiting.pop(0)
+            if not end.closed:
+                end.user.on_data(data)
+
+    def break_at(self, side):
+        end = self.ends[side]
+        end.closed = True
+        end.user.on_end(clean=False)
+
+
+class PipeEnd:
+    unsent_bytes = 0
+
+    def __init__(self, pipe, side):
+        self.pipe, self.side, self.closed, self.user = pipe, side, False, None
+
+    def start(self, user):
+        self.user = user
+
+    def write(self, data):
+        if not self.closed:
+            self.pipe.waiting.append((self.pipe.ends[1 - self.side], data))
+
+    def close(self):
+        self.closed = True
+
+
+class Daemons:
+    """Hold the calling daemon d1, the serving daemon d2 and the link between them."""
+
+    def __init__(self, monkeypatch):
+        monkeypatch.setattr(peerlinks, "connect", self._connect)
+        self.clock = FakeClock()
+        self.gate = FakeGate()
+        self.calling, self.serving = self._host("d1"), self._host("d2")
+        self.pipe = None
+        self.link = PeerLink(self.calling, self.serving.rows.own)
+        self.outcomes = []
+        self.reconnect()
+
+    def reconnect(self):
+        self.clock.at += 1
+        self.link.tick(self.clock.now())
+        self.pipe = Pipe()
+        ServedLink(self.serving, self.pipe.ends[1])
+        self.connected(self.pipe.ends[0])
+        self.pipe.deliver()
+
+    def offer(self, idempotent=False):
+        offer = Offer(
+            *(0, "c1", "give", "ledger", "portal", "POST", b"/give/x", [], b"gift"),
+            left_ms=1_000.0,
+            objective_left_ms=300.0,
+            priority=0,
+            idempotent=idempotent,
+        )
+        cancel = self.link.offer(offer, self.outcomes.append)
+        return cancel
+
+    def _connect(self, endpoint, timeout_ms, done):
+        self.connected = done
+        return lambda: None
+
+    def _host(self, id):
+        row = DaemonRow(id, "dc", "127.0.0.1", 1, incarnation=1, serial=0)
+        return LinkHost(
+            self.clock,
+            FakeTimeline(),
+            RowTable(row),
+            FakeConfig(),
+            self.gate,
+            HeldBytes(1_000),
+            Fates(self.clock),
+            set(),
+            lambda rows: None,
+            lambda row: None,
+        )
+
+
+@pytest.fixture
+def daemons(monkeypatch):
+    return Daemons(monkeypatch)
+
+
+def break_both(daemons):
+    daemons.pipe.break_at(0)
+    daemons.pipe.break_at(1)
+
+
+def test_a_once_only_answer_that_comes_after_the_link_broke_is_delivered(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    break_both(daemons)
+    assert daemons.outcomes == []
+    daemons.reconnect()
+    daemons.gate.offers[0].answer()
+    daemons.pipe.deliver()
+    assert [outcome.body for outcome in daemons.outcomes] == [b"done"]
+    assert len(daemons.gate.offers) == 1
+
+
+def test_an_answer_that_came_while_the_link_was_down_is_delivered(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    break_both(daemons)
+    daemons.gate.offers[0].answer()
+    daemons.reconnect()
+    assert [type(outcome) for outcome in daemons.outcomes] == [Answered]
+
+
+def test_a_request_that_still_waited_is_refused_truly_and_can_go_elsewhere(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    daemons.gate.offers[0].waits = True
+    break_both(daemons)
+    daemons.reconnect()
+    assert [outcome.reason for outcome in daemons.outcomes] == [RefusalReason.CANCELLED]
+
+
+def test_a_request_that_never_came_is_refused_and_can_come_no_more(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    daemons.gate.offers[0].answer()
+    daemons.pipe.deliver()
+    daemons.offer()
+    old, on_its_way = daemons.pipe, daemons.pipe.waiting
+    daemons.pipe.break_at(0)
+    daemons.reconnect()
+    assert [type(outcome) for outcome in daemons.outcomes] == [Answered, Refused]
+    # The serving end had not noticed the break; its old link must not bring the request now.
+    assert on_its_way
+    old.deliver()
+    assert len(daemons.gate.offers) == 1
+
+
+def test_an_answer_lost_on_its_way_leaves_the_outcome_unknown(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    daemons.gate.offers[0].answer()
+    daemons.pipe.waiting.clear()
+    break_both(daemons)
+    daemons.reconnect()
+    assert [outcome.reason for outcome in daemons.outcomes] == [LossReason.LINK_LOST]
+
+
+def test_a_daemon_that_has_started_again_knows_nothing(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    break_both(daemons)
+    daemons.serving = daemons._host("d2")
+    daemons.reconnect()
+    assert [type(outcome) for outcome in daemons.outcomes] == [Lost]
+
+
+def test_nobody_waits_longer_than_a_moment_for_a_link_that_stays_down(daemons):
+    daemons.offer()
+    daemons.pipe.deliver()
+    break_both(daemons)
+    daemons.clock.at += SETTLE_MS + 1
+    daemons.link.tick(daemons.clock.now())
+    assert [type(outcome) for outcome in daemons.outcomes] == [Lost]
+
+
+def test_an_idempotent_request_is_lost_at_once_and_its_work_stopped(daemons):
+    daemons.offer(idempotent=True)
+    daemons.pipe.deliver()
+    break_both(daemons)
+    assert [type(outcome) for outcome in daemons.outcomes] == [Lost]
+    assert daemons.gate.offers[0].cancelled
+
+
+def test_a_caller_that_leaves_meanwhile_gets_nothing(daemons):
+    cancel = daemons.offer()
+    daemons.pipe.deliver()
+    break_both(daemons)
+    cancel()
+    daemons.gate.offers[0].answer()
+    daemons.reconnect()
+    assert daemons.outcomes == []
+
+
+def test_bodies_are_counted_until_their_request_has_ended(daemons):
+    bodies = daemons.serving.bodies
+    for _ in range(3):
+        daemons.offer()
+    cancel = daemons.offer()
+    daemons.pipe.deliver()
+    assert bodies.held == 16
+    daemons.gate.offers[0].answer()
+    cancel()
+    daemons.pipe.deliver()
+    assert bodies.held == 8
+    daemons.gate.offers[1].waits = True
+    break_both(daemons)
+    assert bodies.held == 4
+    daemons.gate.offers[2].answer()
+    assert bodies.held == 0
