--- a/egretworks/peerlinks.py
+++ b/egretworks/peerlinks.py
@@ -9,6 +9,7 @@
 from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
 from egretworks.gatework import CancelCall, Reply
+from egretworks.linkcoding import Coding, PackedCoding, PlainCoding
 from egretworks.linkframes import (
     Answered,
     Cancel,
@@ -69,6 +70,7 @@
         self.near = row.data_centre == host.rows.own.data_centre
         self._stream: Stream | None = None
         self._reader = FrameReader()
+        self._coding: Coding = PlainCoding()
         self._connecting: Callable[[], None] | None = None
         self._ready = False
         self._serial = 0
@@ -171,7 +173,7 @@
         self._heard_at = now
         self._pinged_at = None
         try:
-            frames = self._reader.feed(data)
+            frames = self._reader.feed(self._coding.unpack(data))
         except PeerError as error:
             self._break(error.message)
             return
@@ -191,9 +193,11 @@
             return
         self._stream = stream
         self._reader = FrameReader()
+        self._coding = PlainCoding() if self.near else PackedCoding()
         self._heard_at = now
         self._pinged_at = now
         stream.start(self)
+        stream.write(self._coding.mark)
         self._send(self._host.hello())
 
     def _delay_next_try(self, now: Millis) -> None:
@@ -203,7 +207,7 @@
 
     def _send(self, frame: Frame) -> None:
         if self._stream is not None:
-            self._stream.write(encode_frame(frame))
+            self._stream.write(self._coding.pack(encode_frame(frame)))
 
     def _take(self, frame: Frame) -> None:
         if isinstance(frame, Answered | Refused | Lost):
--- a/egretworks/servedlinks.py
+++ b/egretworks/servedlinks.py
@@ -9,6 +9,7 @@
 from egretworks.exceptions import PeerError
 from egretworks.fates import PeerLife
 from egretworks.gatework import Offered
+from egretworks.linkcoding import Coding, coding_of
 from egretworks.linkframes import (
     Cancel,
     ConfigAsked,
@@ -53,6 +54,8 @@
         self._host = host
         self._stream = stream
         self._reader = FrameReader()
+        # Known once the peer has begun the link.
+        self._coding: Coding | None = None
         self._open_by_serial: dict[int, _Open] = {}
         self._life = UNKNOWN_LIFE
         self._ended = False
@@ -67,7 +70,10 @@
     def on_data(self, data: bytes) -> None:
         """Take in bytes from the peer."""
         try:
-            frames = self._reader.feed(data)
+            if self._coding is None:
+                self._coding = coding_of(data[:1])
+                data = data[1:]
+            frames = self._reader.feed(self._coding.unpack(data))
         except PeerError as error:
             log.warning("a link from %s ends: %s", self.peer, error)
             self.give_up()
@@ -93,8 +99,9 @@
         self.on_end(clean=False)
 
     def tell(self, frame: Frame) -> None:
-        """Send `frame` to the peer."""
-        self._stream.write(encode_frame(frame))
+        """Send `frame` to the peer, once it has begun the link."""
+        if self._coding is not None:
+            self._stream.write(self._coding.pack(encode_frame(frame)))
 
     def close(self) -> None:
         """Close the link once the peer has taken everything."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -376,6 +376,16 @@
     assert ledger.target.runs == []
 
 
+def test_a_request_crosses_data_centres_over_a_packed_link(sidecars):
+    sidecars.platform.configure(config_document(1))
+    portal = sidecars.add("portal", "west")
+    ledger = sidecars.add("ledger", "east")
+    serve([portal, ledger])
+    gift = b"gift " * 20_000
+    status, _, body = portal.call("/give/x", method="POST", body=gift)
+    assert (status, body) == (200, b"POST /give/x HTTP/1.1\r\n" + gift)
+
+
 def test_a_crowd_is_refused_without_asking_every_full_target_for_each_request(sidecars):
     caller, one, two = sidecars.start("ledger", "portal", "portal")
     for portal in (one, two):
