Never put back or hurry a call of a running request

Change: a request whose deadline leaves no time to come back, and that comes with its objective still ahead, keeps its place in the queue when it is late and isn't hurried in a full one. Ruled out: telling calls by their connection; they come over the same port as callers.

--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -36,6 +36,19 @@
     # A start after this isn't worth waiting for; set when the request enters a queue.
     latest_start: Millis = Millis(0)
 
+    @property
+    def last_chance(self) -> bool:
+        """Return whether the caller has too little time left to come back after a refusal."""
+        return self.expires_at - self.arrived < LAST_CHANCE_LEFT_MS
+
+    @property
+    def only_chance(self) -> bool:
+        """Return whether the caller never had the time to come back, as with a target's calls.
+
+        Refusing such a call wastes what its target has done already.
+        """
+        return self.last_chance and self.objective_at > self.arrived
+
 
 class WorkTimes:
     """Estimate how long the target takes for a request of a route."""
@@ -135,8 +148,12 @@
         return dropped
 
     def _rank(self, entry: QueueEntry, now: Millis) -> tuple[int, bool, Millis]:
-        """Order by urgency, then by objective; what will miss its own goes behind the rest."""
-        late = now + self.work.of(entry.route) * SAFE_WORK_FACTOR > entry.objective_at
+        """Order by urgency, then by objective; what will miss its own goes behind the rest.
+
+        What has only one chance keeps its place.
+        """
+        finished_at = now + self.work.of(entry.route) * SAFE_WORK_FACTOR
+        late = finished_at > entry.objective_at and not entry.only_chance
         return (entry.priority, late, entry.objective_at)
 
     def _wait_of(self, entry: QueueEntry, now: Millis) -> float:
@@ -156,7 +173,7 @@
 
     def _latest_start(self, entry: QueueEntry, now: Millis) -> Millis:
         latest = self._latest_useful_start(entry)
-        if self._is_pressed(entry.priority, now):
+        if self._is_pressed(entry.priority, now) and not entry.only_chance:
             left_ms = max(0.0, entry.objective_at - entry.arrived)
             return Millis(min(latest, entry.arrived + left_ms * PRESSED_WAIT_SHARE))
         return latest
@@ -164,6 +181,5 @@
     def _latest_useful_start(self, entry: QueueEntry) -> Millis:
         work_ms = self.work.of(entry.route)
         in_time = max(entry.arrived, entry.objective_at - work_ms * SAFE_WORK_FACTOR)
-        last_chance = entry.expires_at - entry.arrived < LAST_CHANCE_LEFT_MS
-        late_ms = LAST_CHANCE_WAIT_MS if last_chance else LATE_WAIT_MS
+        late_ms = LAST_CHANCE_WAIT_MS if entry.last_chance else LATE_WAIT_MS
         return Millis(min(entry.expires_at - work_ms * LEAST_WORK_SHARE, in_time + late_ms))
--- a/tests/test_gatequeue.py
+++ b/tests/test_gatequeue.py
@@ -156,3 +156,24 @@
     later = PRESSED_AFTER_MS + 10.0
     assert queue.enter(arriving(later), later).wait
     assert queue.enter(arriving(later + 1), later + 1).wait
+
+
+def test_a_call_of_a_running_request_is_neither_put_back_nor_refused_under_pressure():
+    queue = busy_queue(slots=1)
+    assert queue.enter(arriving(1.0), 1.0).wait
+    later = PRESSED_AFTER_MS + 10.0
+    # Its deadline leaves no time to come back, and it is behind its objective by now.
+    call = entry(arrived=later, objective=later + 60.0, expires=later + 400.0)
+    assert queue.enter(call, later).wait
+    queue.leave()
+    assert queue.admit(later + 55.0) is call
+
+
+def test_what_came_back_too_late_is_still_put_behind_the_rest():
+    queue = busy_queue(slots=1)
+    back = entry(arrived=10.0, objective=5.0, expires=400.0)
+    assert queue.enter(back, 10.0).wait
+    fresh = arriving(11.0)
+    assert queue.enter(fresh, 11.0).wait
+    queue.leave()
+    assert queue.admit(12.0) is fresh
