Let the reader close a connection that a stop ends

A trial printed what was left: idle connections whose green thread never woke, as their socket was closed under it. Change: an idle connection is shut down, and its reader closes it. Ruled out: requests in hand (deadlines of 5 s), and half requests (none had begun).

--- a/egretworks/callport.py
+++ b/egretworks/callport.py
@@ -84,7 +84,7 @@
             eventlet.sleep(seconds(LINGER_MS))
             while self._connections:
                 for connection in [c for c in self._connections if c.idle]:
-                    connection.close()
+                    connection.end()
                 eventlet.sleep(seconds(DRAIN_POLL_MS))
         for connection in list(self._connections):
             connection.close()
@@ -163,6 +163,14 @@
             if not request.keep_alive or not response.keep_alive:
                 return
 
+    def end(self) -> None:
+        """End the connection, which the green thread that reads it then closes.
+
+        A socket that is closed under its reader may leave it waiting.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the connection."""
         with contextlib.suppress(OSError):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -65,6 +65,21 @@
     assert_all_answered(load.stop())
 
 
+def test_idle_connections_hold_no_stop_up(mesh):
+    daemons = start(mesh)
+    load = Load(daemons, seconds=60)
+    for daemon in daemons[:2]:
+        daemon.signal(signal.SIGTERM)
+        started = time.monotonic()
+        assert daemon.wait() == 0
+        # Half of the time that connections in use would get.
+        assert time.monotonic() - started < 7.5
+        daemon.start()
+        wait_for(lambda d=daemon: (d.status() or {}).get("ready"), "the daemon to be back")
+        mesh.await_targets(3)
+    assert_all_answered(load.stop())
+
+
 def test_targets_stopped_one_after_another_cut_no_request(mesh):
     daemons = start(mesh, work_ms=20)
     load = Load(daemons, seconds=120)
