--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -55,6 +55,8 @@
 # Callers honour a pause of up to a third of the time they have left.
 MOST_RETRY_AFTER_SHARE = 0.33
 UNREADY_RETRY_AFTER_MS = 250.0
+# Stands for the id of a request that wasn't read.
+NO_CALL = CallId("")
 
 
 class ForwardHost(msgspec.Struct, frozen=True):
@@ -88,14 +90,13 @@
 
     def serve(self, exchange: HttpExchange) -> None:
         """Carry one request to its answer."""
-        id = CallId("")
+        id = NO_CALL
         try:
             head = self.host.edge.read_head(exchange.request)
             id = head.id
             call = self._begin(exchange, head)
         except CallError as error:
-            self.host.metrics.count(f"errors_{error.code.replace('.', '_')}")
-            self.host.calls.failure("call_turned_away", id, code=error.code, reason=error.message)
+            self.note_turned_away(error, id)
             pause_ms = UNREADY_RETRY_AFTER_MS if isinstance(error, NotReady) else 0.0
             exchange.answer(refusal_response(error, pause_ms))
             return
@@ -103,6 +104,11 @@
         exchange.on_gone = call.on_caller_gone
         call.offer_next()
 
+    def note_turned_away(self, error: CallError, id: CallId = NO_CALL) -> None:
+        """Count and log a request that is answered without an offer."""
+        self.host.metrics.count(f"errors_{error.code.replace('.', '_')}")
+        self.host.calls.failure("call_turned_away", id, code=error.code, reason=error.message)
+
     def budget(self, service: ServiceName) -> AttemptBudget:
         """Return the budget for further attempts at `service`."""
         budget = self.budget_by_service.get(service)
@@ -233,7 +239,7 @@
             self._arrivals += 1
             again = self._may_attempt_again()
         else:
-            again = self._offers < MOST_OFFERS and self._with_room(self._untried())
+            again = self._offers < MOST_OFFERS and bool(self._with_room(self._untried()))
         if again:
             self.offer_next()
         else:
--- a/egretworks/httpport.py
+++ b/egretworks/httpport.py
@@ -46,9 +46,12 @@
         limits: Callable[[], CallerLimits],
         serve: Callable[[HttpExchange], None],
         bodies: HeldBytes,
+        on_unreadable: Callable[[CallError], None],
     ) -> None:
         self._clock = clock
         self.bodies = bodies
+        # Called with the reason for which a request isn't read to its end.
+        self.on_unreadable = on_unreadable
         self.limits = limits
         self.serve = serve
         self._connections: set[_Connection] = set()
@@ -179,6 +182,7 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None and exchange.on_gone is not None:
             exchange.on_gone()
+        self._port.on_unreadable(error)
         self._give_back(self._held)
         self._lingering = True
         self._since = self._port.now()
--- a/egretworks/peerlinks.py
+++ b/egretworks/peerlinks.py
@@ -260,7 +260,7 @@
         else:
             self._ready = False
             self._try_at = now
-            self._host.timeline.record("link_down", target=self.row.id, detail=reason)
+            self._record_down(reason)
         sents, self._sent_by_serial = self._sent_by_serial, {}
         for serial, sent in sents.items():
             if sent.idempotent:
@@ -269,6 +269,15 @@
                 self._unsettled[serial] = sent
                 self._settle_until = Millis(now + SETTLE_MS)
 
+    def _record_down(self, reason: str) -> None:
+        once = sum(not sent.idempotent for sent in self._sent_by_serial.values())
+        self._host.timeline.record(
+            "link_down",
+            target=self.row.id,
+            detail=reason,
+            facts={"open": len(self._sent_by_serial), "to_ask_about": once},
+        )
+
     def _lose_unsettled(self) -> None:
         """Tell that nobody knows what became of the requests that were open."""
         sents, self._unsettled = self._unsettled, {}
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -170,28 +170,29 @@
     def _open_ports(self) -> None:
         listen = self._settings.listen
         host = self._settings.instance.host
-        clock, limits, bodies = self._clock, lambda: self._config.limits, self._bodies
         try:
-            self._ready_port = HttpPort(
-                parse_endpoint(listen.ready), clock, limits, self._serve_ready, bodies
-            )
-            self._announcement_port = HttpPort(
-                parse_endpoint(listen.announcements),
-                clock,
-                limits,
-                self._serve_announcement,
-                bodies,
-            )
-            self._call_port = HttpPort(
-                parse_endpoint(listen.calls), clock, limits, self._forwarder.serve, bodies
+            self._ready_port = self._http_port(parse_endpoint(listen.ready), self._serve_ready)
+            self._announcement_port = self._http_port(
+                parse_endpoint(listen.announcements), self._serve_announcement
             )
+            self._call_port = self._http_port(parse_endpoint(listen.calls), self._forwarder.serve)
             self._link_listener = Listener(Endpoint(host, listen.link_port), self._accept_link)
-            self._metrics_port = HttpPort(
-                Endpoint(host, listen.metrics_port), clock, limits, self._serve_metrics, bodies
+            self._metrics_port = self._http_port(
+                Endpoint(host, listen.metrics_port), self._serve_metrics
             )
         except OSError as error:
             raise SettingsError(f"a port can't be opened: {error}") from error
 
+    def _http_port(self, endpoint: Endpoint, serve: Callable[[HttpExchange], None]) -> HttpPort:
+        return HttpPort(
+            endpoint,
+            self._clock,
+            lambda: self._config.limits,
+            serve,
+            self._bodies,
+            self._forwarder.note_turned_away,
+        )
+
     def _places(self, service: ServiceName) -> list[Place]:
         """Return the places that take requests for `service`."""
         places: list[Place] = []
@@ -278,7 +279,12 @@
 
     def _sweep(self) -> None:
         after(SWEEP_MS, self._sweep)
-        for port in (self._call_port, self._announcement_port, self._ready_port):
+        for port in (
+            self._call_port,
+            self._announcement_port,
+            self._ready_port,
+            self._metrics_port,
+        ):
             port.sweep()
 
     def _follow_store(self) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -374,6 +374,8 @@
     long = POST_HEAD % b"b" + b"Content-Length: 70000000\n\n"
     assert raw_call(portal, long, b"z" * 200_000).startswith(b"HTTP/1.1 413")
     assert ledger.target.runs == []
+    for code in ("call.headers_too_large", "call.body_too_large"):
+        wait_for(lambda one=code: one in "".join(portal.events("call_turned_away")), code)
 
 
 def test_a_request_crosses_data_centres_over_a_packed_link(sidecars):
