Let test servers share one accept loop, and name socket addresses once

Change: RawServer has a module of its own and the others build on it; types.Address serves all. meshd loads none of the changed modules.

--- a/egretworks/blackboard.py
+++ b/egretworks/blackboard.py
@@ -15,6 +15,7 @@
 from egretworks.timeline import Timeline
 from egretworks.types import (
     NO_VERSION,
+    Address,
     DataCentre,
     InstanceId,
     RandomSource,
@@ -22,8 +23,6 @@
     TargetId,
 )
 
-Address = tuple[str, int]
-
 
 class Signal:
     """Wake the controllers that wait for something to change."""
--- a/egretworks/delivery.py
+++ b/egretworks/delivery.py
@@ -14,14 +14,12 @@
 from egretworks.messages import MemberRow, SyncReply, compress, decompress
 from egretworks.state import Change, MeshState, apply_change
 from egretworks.tickets import check_body, check_policies
-from egretworks.types import DataCentre, InstanceId, RandomSource, TicketNumber, Version
+from egretworks.types import Address, DataCentre, InstanceId, RandomSource, TicketNumber, Version
 
 # A reply carries at most this many changes; a daemon further behind gets the whole state.
 KEPT_CHANGES = 256
 WATCHERS_PER_DATA_CENTRE = 2
 
-Address = tuple[str, int]
-
 
 class Offer(Enum):
     """Say what became of a change or state that was offered."""
--- a/egretworks/peers.py
+++ b/egretworks/peers.py
@@ -16,6 +16,7 @@
 
 from egretworks.clock import seconds
 from egretworks.exceptions import EgretError, PeerError, PeerRefused
+from egretworks.types import Address
 
 REQUEST_TIMEOUT_MS = 2_000
 MAX_CHANNELS = 64
@@ -113,11 +114,11 @@
     """Send requests to other daemons over channels that stay open."""
 
     def __init__(self) -> None:
-        self._channels_by_address: dict[tuple[str, int], Channel] = {}
+        self._channels_by_address: dict[Address, Channel] = {}
 
     def request(
         self,
-        address: tuple[str, int],
+        address: Address,
         name: str,
         message: Any,
         reply: type,
@@ -128,7 +129,7 @@
         return _wait(self._request(address, name, message, reply, timeout_ms))
 
     async def _request(
-        self, address: tuple[str, int], name: str, message: Any, reply: type, timeout_ms: float
+        self, address: Address, name: str, message: Any, reply: type, timeout_ms: float
     ) -> Any:
         channel = self._channel(address)
         method = UnaryUnaryMethod(channel, _SERVICE + name, type(message), reply)
@@ -151,7 +152,7 @@
         for address in list(self._channels_by_address):
             self._forget(address)
 
-    def _channel(self, address: tuple[str, int]) -> Channel:
+    def _channel(self, address: Address) -> Channel:
         channel = self._channels_by_address.pop(address, None)
         if channel is None:
             channel = Channel(*address, codec=MsgpackCodec())
@@ -160,7 +161,7 @@
             self._forget(next(iter(self._channels_by_address)))
         return channel
 
-    def _forget(self, address: tuple[str, int]) -> None:
+    def _forget(self, address: Address) -> None:
         channel = self._channels_by_address.pop(address, None)
         if channel is not None:
             channel.close()
--- a/egretworks/spreading.py
+++ b/egretworks/spreading.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from egretworks.blackboard import Address, Blackboard
+from egretworks.blackboard import Blackboard
 from egretworks.clock import seconds
 from egretworks.controllers import Links, controller
 from egretworks.delivery import Offer, most_answered, pull_sources
@@ -23,7 +23,7 @@
     decompress,
 )
 from egretworks.reporting import take_report
-from egretworks.types import InstanceId, Version
+from egretworks.types import Address, InstanceId, Version
 
 SYNC = "Sync"
 MEMBERS = "Members"
--- a/egretworks/types.py
+++ b/egretworks/types.py
@@ -22,6 +22,10 @@
 ETag = NewType("ETag", str)
 
 
+# An IP number and a port, as sockets take them.
+Address = tuple[str, int]
+
+
 class Endpoint(NamedTuple):
     """Name an IP number and a port."""
 
--- a/egretworks/upstream.py
+++ b/egretworks/upstream.py
@@ -12,9 +12,9 @@
 from egretworks.clock import Clock, Millis, seconds
 from egretworks.exceptions import AttemptTimeout, ConnectFailed, DeadlineExceeded, OutcomeUnknown
 from egretworks.httpwire import RECEIVE_BYTES, Response, ResponseReader
+from egretworks.types import Address
 
 IDLE_MS = 10_000
-Address = tuple[str, int]
 
 
 class _Idle:
--- a/tests/scriptedtarget.py
+++ b/tests/scriptedtarget.py
@@ -1,11 +1,11 @@
 """Answer calls by a script, byte by byte, as a target that misbehaves would."""
 
 import json
-import socket
 import threading
 import time
 
 from processes import ask
+from rawserver import RawServer
 
 NOT_RUN = (
     b"HTTP/1.1 503 Service Unavailable\r\nEgret-Not-Run: true\r\nContent-Length: 4\r\n\r\nshed"
@@ -18,7 +18,7 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-class ScriptedTarget:
+class ScriptedTarget(RawServer):
     """Answer each request with the next of `answers`, which are bytes or functions.
 
     A function gets the request and returns bytes, None to close the connection, or an event to
@@ -28,9 +28,7 @@
     def __init__(self, answers):
         self.answers = answers
         self.requests = []
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__(self._serve)
 
     def announce(self, id, service, daemon, slots=50):
         """Announce the target to `daemon` for as long as the test runs."""
@@ -52,35 +50,20 @@
 
         threading.Thread(target=repeat, daemon=True).start()
 
-    def close(self):
-        self._listener.close()
-
-    def _accept(self):
+    def _serve(self, sock):
         while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
+            request = _read_request(sock)
+            if request is None:
                 return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock):
-        with sock:
-            while True:
-                request = _read_request(sock)
-                if request is None:
-                    return
-                self.requests.append(request)
-                answer = self.answers(request) if callable(self.answers) else self._next(request)
-                if answer is None:
-                    return
-                if isinstance(answer, threading.Event):
-                    sock.recv(1)
-                    answer.set()
-                    return
-                try:
-                    sock.sendall(answer)
-                except OSError:
-                    return
+            self.requests.append(request)
+            answer = self.answers(request) if callable(self.answers) else self._next(request)
+            if answer is None:
+                return
+            if isinstance(answer, threading.Event):
+                sock.recv(1)
+                answer.set()
+                return
+            sock.sendall(answer)
 
     def _next(self, request):
         answer = self.answers.pop(0)
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -6,6 +6,7 @@
 
 from platformwire import heartbeat_body
 from processes import Process, ask, free_port, wait_for
+from rawserver import RawServer
 
 SETTINGS = """
 [instance]
@@ -34,7 +35,7 @@
 """
 
 
-class Target:
+class Target(RawServer):
     """Run requests beside a daemon and count each run; `answer` may be changed at any time."""
 
     def __init__(self, service, work_ms=5, slots=4):
@@ -52,9 +53,7 @@
         self.left_early = 0
         self.answer = lambda id, body: self.whole(id, body)
         self._lock = threading.Lock()
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=200)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__(self._serve)
 
     def whole(self, id, body, status="200 OK", stamp="s"):
         """Return a whole answer, signed unless `stamp` is empty."""
@@ -77,28 +76,14 @@
         path = f"/rpc?call=instances.heartbeat&of={self.id}"
         return ask(daemon.ports["announcements"], "POST", path, body)[0]
 
-    def close(self):
-        """Refuse further connections."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
     def _serve(self, sock):
         stream = sock.makefile("rb")
         try:
             while self._serve_one(sock, stream):
                 pass
-        except (OSError, ValueError):
+        except ValueError:
+            # The caller left in the middle of a request.
             pass
-        finally:
-            sock.close()
 
     def _serve_one(self, sock, stream):
         line = stream.readline().decode()
--- a/tests/test_targetlink.py
+++ b/tests/test_targetlink.py
@@ -4,7 +4,8 @@
 import struct
 import time
 
-from hubtools import RawServer, rest, run_hub
+from hubtools import rest, run_hub
+from rawserver import RawServer
 
 from egretworks.clock import SystemClock
 from egretworks.httpwire import Response
