Split the path's process tests by what they prove

Cause: tests/test_sidecar.py had grown to 402 lines: the path, and load, limits and metrics. Change: test_sidecar_load.py has the latter; SidecarMesh and post_many moved to sidecars.py, the fixture to conftest.py.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import hypothesis
 import pytest
 from processes import Mesh
+from sidecars import SidecarMesh
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
@@ -34,3 +35,10 @@
     started = Mesh(tmp_path)
     yield started
     started.end()
+
+
+@pytest.fixture
+def sidecars(tmp_path):
+    mesh = SidecarMesh(tmp_path)
+    yield mesh
+    mesh.end()
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-from platformwire import heartbeat_body
-from processes import Process, ask, free_port, wait_for
+from platformwire import config_document, heartbeat_body
+from processes import Platform, Process, ask, free_port, wait_for
 from rawserver import RawServer
 
 SETTINGS = """
@@ -178,3 +178,47 @@
     for sidecar in sidecars:
         wait_for(lambda one=sidecar: len(one.events("link_up")) >= links, f"{sidecar.id}'s links")
     time.sleep(0.3)
+
+
+class SidecarMesh:
+    """Hold a store, daemons and their targets."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.platform = Platform(folder)
+        self.sidecars = []
+
+    def add(self, service, data_centre="dc", **options):
+        target = Target(service, **options)
+        id = f"n{len(self.sidecars)}"
+        self.sidecars.append(Sidecar(self.folder, id, self.platform.port, target, data_centre))
+        return self.sidecars[-1]
+
+    def start(self, *services, version=1):
+        self.platform.configure(config_document(version))
+        sidecars = [self.add(service) for service in services]
+        serve(sidecars)
+        return sidecars
+
+    def end(self):
+        for process in (*self.sidecars, self.platform):
+            process.end()
+
+
+def post_many(sidecar, count, path="/give/x", method="POST", left_ms=2_000):
+    """Send requests at the same time; return their statuses by id."""
+    statuses = {}
+
+    def one(id):
+        try:
+            statuses[id] = sidecar.call(path, id=id, method=method, left_ms=left_ms)[0]
+        except OSError as error:
+            statuses[id] = repr(error)
+
+    ids = [f"{sidecar.id}-{method}-{number}" for number in range(count)]
+    threads = [threading.Thread(target=one, args=(id,)) for id in ids]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
--- /dev/null
+++ b/tests/test_sidecar_load.py
@@ -0,0 +1,125 @@
+"""Prove what daemons do under load and with large requests, and what their metrics show."""
+
+import re
+import socket
+import time
+
+import pytest
+from processes import ask, wait_for
+from sidecars import post_many
+
+
+def test_no_more_requests_run_than_the_target_has_slots(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.target.work_ms = 60
+    statuses = post_many(portal, 12)
+    assert set(statuses.values()) <= {200, 503}
+    assert ledger.target.most_at_work == ledger.target.slots
+
+
+def test_a_refused_request_never_runs_and_says_when_to_come_back(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    ledger.target.work_ms = 250
+    statuses = post_many(portal, 40)
+    refused = [id for id, status in statuses.items() if status == 503]
+    assert refused
+    assert not set(refused) & set(ledger.target.runs)
+    assert len(ledger.target.runs) == len(set(ledger.target.runs))
+
+
+def test_metrics_are_served(sidecars):
+    portal, _ = sidecars.start("portal", "ledger")
+    portal.call("/give/x", method="POST")
+    status, _, body = ask(portal.ports["metrics"], "GET", "/metrics")
+    assert status == 200
+    assert b"egret_calls_answered_total 1" in body
+
+
+def test_gauges_show_slots_members_version_budget_and_store(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger", version=9)
+    portal.call("/give/x", method="POST")
+
+    def gauges():
+        text = ask(portal.ports["metrics"], "GET", "/metrics")[2].decode()
+        lines = [line for line in text.splitlines() if not line.startswith("#")]
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
+
+    seen = gauges()
+    assert seen["egret_gate_slots"] == portal.target.slots
+    assert seen["egret_gate_running"] == seen["egret_gate_waiting"] == 0
+    assert seen["egret_config_version"] == 9
+    assert seen["egret_daemons_known"] == 2
+    assert seen["egret_links_up"] == 1
+    assert seen["egret_store_reachable"] == 1
+    assert seen["egret_log_lines_dropped"] == 0
+    assert seen['egret_targets_serving{service="ledger"}'] == 1
+    # Half of a fifth of one request and of half the slack.
+    assert seen['egret_attempts_left{service="ledger"}'] == pytest.approx(15.1)
+    ledger.target.heartbeat(ledger, "draining")
+    wait_for(
+        lambda: gauges()['egret_targets_serving{service="ledger"}'] == 0, "the target's leaving"
+    )
+
+
+def raw_call(sidecar, head, body=b"", wait_s=3):
+    """Send `head` and `body` and return all that the daemon answers within `wait_s`."""
+    with socket.create_connection(("127.0.0.1", sidecar.ports["calls"])) as sock:
+        sock.settimeout(wait_s)
+        sock.sendall(head.replace(b"\n", b"\r\n") + body)
+        data = b""
+        try:
+            while b"\r\n\r\n" not in data:
+                part = sock.recv(65_536)
+                if not part:
+                    break
+                data += part
+        except TimeoutError:
+            pass
+        return data
+
+
+POST_HEAD = b"POST /give/x HTTP/1.1\nHost: pool.example\nX-Egret-Attempt-Id: %s\n"
+
+
+def test_bodies_that_would_exceed_the_memory_are_refused_and_the_room_comes_back(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    # A quarter of 100 MB is for bodies; what is announced counts before it comes.
+    head = POST_HEAD % b"big1" + b"Content-Length: 20000000\n\n"
+    first = socket.create_connection(("127.0.0.1", portal.ports["calls"]))
+    first.sendall(head.replace(b"\n", b"\r\n") + b"x" * 1_000)
+    time.sleep(0.3)
+    second = raw_call(portal, POST_HEAD % b"big2" + b"Content-Length: 20000000\n\n", b"y" * 500_000)
+    assert second.startswith(b"HTTP/1.1 503") and b"Retry-After" in second
+    assert portal.call("/give/x", method="POST", id="small", body=b"gift")[0] == 200
+    first.close()
+    wait_for(
+        lambda: b"egret_bodies_held_bytes 0.0"
+        in ask(portal.ports["metrics"], "GET", "/metrics")[2],
+        "the room to come back",
+    )
+    assert set(ledger.target.runs) == {"small"}
+
+
+def test_too_large_headers_and_bodies_get_their_own_statuses(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    wide = POST_HEAD % b"h" + b"X-Wide: " + b"w" * 20_000 + b"\nContent-Length: 0\n\n"
+    assert raw_call(portal, wide).startswith(b"HTTP/1.1 431")
+    long = POST_HEAD % b"b" + b"Content-Length: 70000000\n\n"
+    assert raw_call(portal, long, b"z" * 200_000).startswith(b"HTTP/1.1 413")
+    assert ledger.target.runs == []
+    for code in ("call.headers_too_large", "call.body_too_large"):
+        wait_for(lambda one=code: one in "".join(portal.events("call_turned_away")), code)
+
+
+def test_a_crowd_is_refused_without_asking_every_full_target_for_each_request(sidecars):
+    caller, one, two = sidecars.start("ledger", "portal", "portal")
+    for portal in (one, two):
+        portal.target.work_ms = 400
+    statuses = post_many(caller, 60, path="/view/x", method="GET", left_ms=2_000)
+    refused = [id for id, status in statuses.items() if status == 503]
+    offers = 0
+    for portal in (one, two):
+        page = ask(portal.ports["metrics"], "GET", "/metrics")[2].decode()
+        offers += float(re.search(r"gate_refused_busy_total ([0-9.]+)", page)[1])
+    assert len(refused) > 30
+    assert offers < 1.7 * len(refused)
