Look for the last number again when a filed ticket loses its race

An operator held up between reading the last number and its first try walked through the numbers that others had taken since, one by one, and gave up after 50. Change: after a lost race the last number is read again.

--- a/egretworks/ledger.py
+++ b/egretworks/ledger.py
@@ -93,7 +93,8 @@
             if self._create_own(TICKETS, number, dump(ticket), mark, Ticket):
                 self._hint(number)
                 return ticket
-            number += 1
+            # Others may have filed many while this one was held up.
+            number = max(number, self._last_number()) + 1
         raise TicketConflict("other operators took every number tried", next_step="file again")
 
     def accept(self, number: TicketNumber) -> Ticket:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,7 +6,7 @@
 
 from egretworks.clock import SystemClock
 from egretworks.exceptions import ChangeRefused, EgretError, PlatformError, TicketConflict
-from egretworks.ledger import Ledger
+from egretworks.ledger import MAX_TRIES, Ledger
 from egretworks.objects import ObjectStore
 from egretworks.resources import Removal, TicketBody
 from egretworks.tickets import parse_body
@@ -54,6 +54,18 @@
     return results
 
 
+def test_an_operator_held_up_while_many_tickets_are_filed_gets_the_next_number(
+    operators, monkeypatch
+):
+    other, held_up = operators.new(), operators.new()
+    for number in range(MAX_TRIES + 5):
+        other.file(service(f"s{number}"))
+    read = held_up._last_number
+    answers = [0]
+    monkeypatch.setattr(held_up, "_last_number", lambda: answers.pop() if answers else read())
+    assert held_up.file(service("late")).number == MAX_TRIES + 6
+
+
 def test_numbers_rise_without_gap_or_repeat_under_racing_operators(operators):
     def file_ten(ledger, name):
         return [ledger.file(service(f"{name}{i}")).number for i in range(10)]
