Keep the test target's socket open until its early answer has been read

Cause: the test's own server closed its socket 200 ms after its answer with request bytes unread; that resets the connection, and an answer not read by then is dropped. The server now waits until the test has the answer; what is asserted is unchanged.

--- a/tests/test_targetconnections.py
+++ b/tests/test_targetconnections.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import threading
 import time
 
 from hubtools import run_hub, run_hub_for
@@ -202,10 +203,13 @@
 
 
 def test_an_answer_before_the_whole_request_is_accepted_and_closes_the_connection():
+    answer_read = threading.Event()
+
     def handler(sock):
         sock.recv(100)
         sock.sendall(ok_response(b"early"))
-        time.sleep(0.2)
+        # Closing with unread request bytes would reset the connection and drop the answer.
+        answer_read.wait()
 
     server = RawServer(handler)
     connections = connect_to(server)
@@ -213,5 +217,6 @@
     data = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
     outcomes, _ = send(connections, method="POST", data=data)
     run_hub(lambda: outcomes)
+    answer_read.set()
     assert outcomes[0].body == b"early"
     assert connections._idle == []
