Log backlogged links, delayed offers, a late event loop and cancelled offers

Added: bytes sent by kind of frame, link_backlogged, offer_delayed with the time spent in queues on the way, loop_delayed, gate_cancelled. Offers, pings and hellos carry when they were sent, by a clock that counts suspended time; a build without the field reads and sends frames as before. No decision depends on any of it yet.

--- a/egretworks/clock.py
+++ b/egretworks/clock.py
@@ -19,6 +19,9 @@
     def wall(self) -> Millis:
         """Return milliseconds since the Unix epoch, for timestamps in records."""
 
+    def since_boot(self) -> Millis:
+        """Return milliseconds since boot, with the time for which the machine was suspended."""
+
 
 class SystemClock:
     """Clock of the operating system."""
@@ -31,6 +34,10 @@
         """Return milliseconds since the Unix epoch, for timestamps in records."""
         return Millis(time.time() * MILLIS_PER_SECOND)
 
+    def since_boot(self) -> Millis:
+        """Return milliseconds since boot, with the time for which the machine was suspended."""
+        return Millis(time.clock_gettime(time.CLOCK_BOOTTIME) * MILLIS_PER_SECOND)
+
 
 def seconds(duration: Millis | float) -> float:
     """Convert a duration in milliseconds to seconds; a negative one gives zero."""
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -6,14 +6,13 @@
 
 import msgspec
 
+from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
-from egretworks.linkcoding import Coding, select_coding
 from egretworks.linkframes import (
     Cancel,
     ConfigCopy,
     ConfigRequest,
     Frame,
-    FrameReader,
     Hello,
     LossReason,
     Lost,
@@ -25,17 +24,21 @@
     RefusalReason,
     Refused,
     Rows,
-    encode_frame,
 )
 from egretworks.linkhost import LinkHost
+from egretworks.linkstream import LinkStream
 from egretworks.orphanedoffers import PeerIncarnation
 from egretworks.pendingoffer import OfferHandle
 from egretworks.streams import Stream
+from egretworks.transit import TransitEstimator
 from egretworks.types import InstanceId
 
 # Suggested delay before a request is retried that was refused because body memory was full.
 BODY_MEMORY_WAIT_MS = 100.0
 
+# An offer that was queued on its way for longer is logged.
+LOGGED_TRANSIT_MS = 250.0
+
 # Identifies the peer until its `Hello` has arrived.
 UNKNOWN_PEER = PeerIncarnation(InstanceId(""), 0)
 
@@ -56,15 +59,13 @@
 
     def __init__(self, host: LinkHost, stream: Stream) -> None:
         self._host = host
-        self._stream = stream
-        self._reader = FrameReader()
-        # Set by the first byte from the peer.
-        self._coding: Coding | None = None
+        self._stream = LinkStream(stream, host.metrics, host.timeline)
+        self._transit = TransitEstimator()
         self._in_flight_by_serial: dict[int, _InFlight] = {}
         self._peer_incarnation = UNKNOWN_PEER
         self._ended = False
         host.inbound_links.add(self)
-        stream.start(self)
+        self._stream.start(self)
 
     @property
     def peer(self) -> InstanceId:
@@ -74,10 +75,7 @@
     def on_data(self, data: bytes) -> None:
         """Process bytes received from the peer."""
         try:
-            if self._coding is None:
-                self._coding = select_coding(data[:1])
-                data = data[1:]
-            frames = self._reader.feed(self._coding.decode(data))
+            frames = self._stream.receive(data)
         except PeerError as error:
             log.warning("closing link from daemon %r: %s", self.peer, error)
             self.abort()
@@ -104,8 +102,7 @@
 
     def send_frame(self, frame: Frame) -> None:
         """Send `frame`, unless the peer has not sent the byte that selects the coding yet."""
-        if self._coding is not None:
-            self._stream.write(self._coding.encode(encode_frame(frame)))
+        self._stream.send(frame)
 
     def close(self) -> None:
         """Close the link once all pending data has been sent."""
@@ -113,16 +110,20 @@
 
     def _handle(self, frame: Frame) -> None:
         if isinstance(frame, Offer):
+            self._record_transit(frame)
             self._handle_offer(frame)
         elif isinstance(frame, Cancel):
             request = self._in_flight_by_serial.pop(frame.serial, None)
             if request is not None:
                 self._cancel(request)
         elif isinstance(frame, Ping):
+            self._queued_ms(frame)
             self.send_frame(Pong(self._host.config.version, self._host.gate.report()))
             self._host.config.on_peer_version(frame.config_version, self)
         elif isinstance(frame, Hello):
             self._peer_incarnation = PeerIncarnation(frame.row.id, frame.row.incarnation)
+            self._stream.peer = self.peer
+            self._queued_ms(frame)
             self.send_frame(self._host.hello())
             self._host.merge_rows([frame.row, *frame.rows])
             self._host.config.on_peer_version(frame.config_version, self)
@@ -135,6 +136,24 @@
         elif isinstance(frame, ConfigCopy):
             self._host.config.apply_copy(frame, self.peer)
 
+    def _queued_ms(self, frame: Hello | Offer | Ping) -> float:
+        """Return how long `frame` was queued on its way; 0 if an older build sent it."""
+        if frame.sent_at is None:
+            return 0.0
+        return self._transit.queued_ms(Millis(frame.sent_at), self._host.clock.since_boot())
+
+    def _record_transit(self, offer: Offer) -> None:
+        queued_ms = self._queued_ms(offer)
+        self._host.metrics.observe("link_queued", queued_ms)
+        if queued_ms > LOGGED_TRANSIT_MS:
+            self._host.calls.failure(
+                "offer_delayed",
+                offer.call,
+                daemon=self.peer,
+                queued_ms=round(queued_ms, 1),
+                left_ms=offer.left_ms,
+            )
+
     def _handle_offer(self, offer: Offer) -> None:
         body_budget, size = self._host.body_budget, len(offer.body)
         self._host.orphaned_offers.record_offer(self._peer_incarnation, offer.serial)
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -63,6 +63,8 @@
     row: DaemonRow
     config_version: int
     rows: list[DaemonRow]
+    # When the frame was sent, by the sender's clock since boot; None from an older build.
+    sent_at: float | None = None
 
 
 class Offer(msgspec.Struct, array_like=True, frozen=True, tag=2):
@@ -86,6 +88,8 @@
     # 0 is the highest priority.
     priority: int
     idempotent: bool
+    # When the frame was sent, by the sender's clock since boot; None from an older build.
+    sent_at: float | None = None
 
 
 class Answered(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -128,6 +132,8 @@
     """Check that the peer is alive."""
 
     config_version: int
+    # When the frame was sent, by the sender's clock since boot; None from an older build.
+    sent_at: float | None = None
 
 
 class Pong(msgspec.Struct, array_like=True, frozen=True, tag=8):
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -8,10 +8,12 @@
 import msgspec
 
 from egretworks.bytebudget import ByteBudget
+from egretworks.calllog import CallLog
 from egretworks.clock import Clock
 from egretworks.configholder import ConfigHolder
 from egretworks.gate import Gate
 from egretworks.linkframes import Hello
+from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.timeline import Timeline
@@ -25,6 +27,8 @@
 
     clock: Clock
     timeline: Timeline
+    metrics: Metrics
+    calls: CallLog
     rows: RowTable
     config: ConfigHolder
     gate: Gate
@@ -40,7 +44,9 @@
 
     def hello(self) -> Hello:
         """Return the frame that opens a link."""
-        return Hello(self.rows.own, self.config.version, self.rows.all_rows())
+        return Hello(
+            self.rows.own, self.config.version, self.rows.all_rows(), self.clock.since_boot()
+        )
 
     def merge_rows(self, rows: list[DaemonRow]) -> None:
         """Merge `rows` into the row table and notify the daemon of what changed."""
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -8,14 +8,13 @@
 
 from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
-from egretworks.linkcoding import Coding, CompressedCoding, PlainCoding
+from egretworks.linkcoding import CompressedCoding, PlainCoding
 from egretworks.linkframes import (
     Answered,
     Cancel,
     ConfigCopy,
     ConfigRequest,
     Frame,
-    FrameReader,
     GateReport,
     Hello,
     LossReason,
@@ -27,9 +26,9 @@
     Pong,
     Refused,
     Rows,
-    encode_frame,
 )
 from egretworks.linkhost import LinkHost
+from egretworks.linkstream import LinkStream
 from egretworks.pendingoffer import CancelCallback, Reply
 from egretworks.rows import DaemonRow
 from egretworks.streams import Stream, connect
@@ -78,9 +77,7 @@
         self.row = row
         # True if the peer is in the data centre of this daemon.
         self.near = row.data_centre == host.rows.own.data_centre
-        self._stream: Stream | None = None
-        self._reader = FrameReader()
-        self._coding: Coding = PlainCoding()
+        self._stream: LinkStream | None = None
         self._cancel_connect: Callable[[], None] | None = None
         # True once the peer has answered with its `Hello`.
         self._ready = False
@@ -116,7 +113,8 @@
         self._serial += 1
         serial = self._serial
         self._in_flight_by_serial[serial] = _Request(reply, offer.idempotent)
-        self._send(msgspec.structs.replace(offer, serial=serial))
+        sent_at = self._host.clock.since_boot()
+        self._send(msgspec.structs.replace(offer, serial=serial, sent_at=sent_at))
 
         def cancel() -> None:
             self._unresolved_by_serial.pop(serial, None)
@@ -160,7 +158,7 @@
                 self._break(f"no reply from the peer within {BROKEN_MS} ms")
         elif self._ready and self._needs_ping(now):
             self._awaiting_since = self._last_ping_at = now
-            self._send(Ping(self._host.config.version))
+            self._send(Ping(self._host.config.version, self._host.clock.since_boot()))
 
     def _needs_ping(self, now: Millis) -> bool:
         """Return whether a busy peer is silent, or the last ping is older than the interval."""
@@ -189,7 +187,7 @@
         self._last_received_at = now
         self._awaiting_since = None
         try:
-            frames = self._reader.feed(self._coding.decode(data))
+            frames = self._stream.receive(data)
         except PeerError as error:
             self._break(error.message)
             return
@@ -207,14 +205,13 @@
         if stream is None:
             self._back_off(now)
             return
-        self._stream = stream
-        self._reader = FrameReader()
-        self._coding = PlainCoding() if self.near else CompressedCoding()
+        coding = PlainCoding() if self.near else CompressedCoding()
+        self._stream = LinkStream(stream, self._host.metrics, self._host.timeline, coding)
+        self._stream.peer = self.row.id
         self._last_received_at = now
         # The peer's `Hello` is awaited with the same timeouts as a pong.
         self._awaiting_since = now
-        stream.start(self)
-        stream.write(self._coding.mark)
+        self._stream.start(self)
         self._send(self._host.hello())
 
     def _back_off(self, now: Millis) -> None:
@@ -224,7 +221,7 @@
 
     def _send(self, frame: Frame) -> None:
         if self._stream is not None:
-            self._stream.write(self._coding.encode(encode_frame(frame)))
+            self._stream.send(frame)
 
     def _handle(self, frame: Frame) -> None:
         if isinstance(frame, Answered | Refused | Lost):
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -126,7 +126,16 @@
         if self._reply is None:
             return
         self._reply = None
-        if self._gate.withdraw(self._entry) or self._abort is None:
+        waiting = self._gate.withdraw(self._entry)
+        self._host.metrics.count(f"gate_cancelled_{'waiting' if waiting else 'running'}")
+        self._host.calls.step(
+            "gate_cancelled",
+            self._offer.call,
+            waiting=waiting,
+            idempotent=self._offer.idempotent,
+            after_ms=round(self._host.clock.now() - self._entry.arrived, 1),
+        )
+        if waiting or self._abort is None:
             return
         if self._offer.idempotent:
             self._abort()
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -15,7 +15,7 @@
 from egretworks import logs
 from egretworks.bytebudget import ByteBudget
 from egretworks.calllog import CallLog
-from egretworks.clock import SystemClock, seconds
+from egretworks.clock import Millis, SystemClock, seconds
 from egretworks.config import SidecarSettings, read_sidecar_settings
 from egretworks.configholder import ConfigHolder
 from egretworks.destinations import Destination, LocalDestination
@@ -41,6 +41,8 @@
 
 # Interval at which outbound links are checked for reconnects, pings and timeouts.
 TICK_MS = 50
+# A timer of the event loop that is later than this is logged: the processor was busy or taken away.
+LOGGED_LOOP_DELAY_MS = 250.0
 # Interval at which connections of the HTTP ports are checked for timeouts.
 SWEEP_MS = 500
 # The settings file is polled because it may change without a SIGHUP.
@@ -113,6 +115,8 @@
         self._link_host = LinkHost(
             self._clock,
             self._timeline,
+            self._metrics,
+            self._calls,
             self._rows,
             self._config,
             self._gate,
@@ -141,7 +145,7 @@
         self._timeline.record("started", detail=f"service={self._settings.instance.service}")
         signal.signal(signal.SIGTERM, lambda *_: call_later(0, self.stop))
         signal.signal(signal.SIGHUP, lambda *_: call_later(0, self._reload))
-        call_later(TICK_MS, self._tick)
+        self._schedule_tick()
         call_later(SWEEP_MS, self._sweep)
         eventlet.spawn_n(self._poll_settings)
         eventlet.spawn_n(self._run_store_clients)
@@ -280,12 +284,21 @@
                 link.reconnect_soon()
             link.row = row
 
-    def _tick(self) -> None:
-        call_later(TICK_MS, self._tick)
+    def _schedule_tick(self) -> None:
+        call_later(TICK_MS, self._tick, Millis(self._clock.now() + TICK_MS))
+
+    def _tick(self, due_at: Millis) -> None:
+        self._schedule_tick()
         now = self._clock.now()
+        self._record_loop_delay(now - due_at)
         for link in list(self._links_by_id.values()):
             link.tick(now)
 
+    def _record_loop_delay(self, delay_ms: float) -> None:
+        self._metrics.observe("loop_delay", delay_ms)
+        if delay_ms > LOGGED_LOOP_DELAY_MS:
+            self._timeline.record("loop_delayed", facts={"late_ms": round(delay_ms, 1)})
+
     def _sweep(self) -> None:
         call_later(SWEEP_MS, self._sweep)
         for port in (
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,6 +4,7 @@
 
 from egretworks import outboundlinks
 from egretworks.bytebudget import ByteBudget
+from egretworks.calllog import CallLog
 from egretworks.clock import Millis
 from egretworks.inboundlinks import InboundLink
 from egretworks.linkframes import (
@@ -16,6 +17,7 @@
     Refused,
 )
 from egretworks.linkhost import LinkHost
+from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.outboundlinks import RESOLVE_TIMEOUT_MS, OutboundLink
 from egretworks.rows import DaemonRow, RowTable
@@ -30,6 +32,9 @@
     def now(self):
         return Millis(self.at)
 
+    def since_boot(self):
+        return Millis(self.at)
+
 
 class FakeTimeline:
     def record(self, kind, **facts):
@@ -153,6 +158,8 @@
         return LinkHost(
             self.clock,
             FakeTimeline(),
+            Metrics(),
+            CallLog(FakeTimeline(), self.clock),
             RowTable(row),
             FakeConfig(),
             self.gate,
