Request a configuration from one peer at a time

What callers saw: CONFIG, requests handled as an older version allows, at daemons whose link was full. Cause: a daemon that was behind asked for the whole configuration (116 KB) at each ping or pong from another peer that was ahead, 150 ms after the last request, while earlier copies were still on their way; 88 peers ping once a second. Fix: no further request until the answer or 500 ms have passed, so at most one copy is on its way; a lost answer costs 0.5 s of the 2.5 s allowed. Class: repair traffic that does not count what is already in flight.

--- a/egretworks/configholder.py
+++ b/egretworks/configholder.py
@@ -9,13 +9,15 @@
 from egretworks.exceptions import ConfigInvalid
 from egretworks.linkframes import ConfigCopy, ConfigRequest, Frame
 from egretworks.meshroutes import CallerLimits, MeshConfig, RouteIndex, check_config
-from egretworks.streams import call_later
+from egretworks.streams import Timer, call_later
 from egretworks.timeline import Timeline
 from egretworks.types import NO_VERSION, InstanceId, Version
 
 # Delay before a newer version is requested from a peer. A daemon that watches the store itself
 # receives the version within this time.
 REQUEST_DELAY_MS = 150
+# After this time without an answer another peer may be asked.
+REQUEST_TIMEOUT_MS = 500
 
 log = logging.getLogger(__name__)
 
@@ -41,8 +43,8 @@
         self._timeline = timeline
         self._on_change = on_change
         self._document = b""
-        # True while a request to a peer is scheduled.
-        self._request_scheduled = False
+        # Set while a request to a peer is scheduled or unanswered.
+        self._request_timer: Timer | None = None
         self.config: MeshConfig | None = None
         self.index = RouteIndex(())
 
@@ -93,7 +95,7 @@
 
     def apply_copy(self, copy: ConfigCopy, peer: InstanceId | None) -> None:
         """Apply a copy received from a peer if it is newer."""
-        self._request_scheduled = False
+        self._end_request()
         if copy.version > self.version:
             self.apply(copy.document, f"peer {peer}")
 
@@ -105,15 +107,23 @@
     def on_peer_version(self, version: int, peer: Peer) -> None:
         """Request the document from `peer` if its `version` is newer.
 
-        The request is delayed and not sent if the version has come into force by then.
+        The request is delayed and not sent if the version has come into force by then. Another one
+        is made only after the answer or `REQUEST_TIMEOUT_MS`: copies that several peers send at
+        once would fill this daemon's link.
         """
-        if version <= self.version or self._request_scheduled:
+        if version <= self.version or self._request_timer is not None:
             return
-        self._request_scheduled = True
         # A daemon without a configuration cannot serve callers, so it does not wait.
-        call_later(REQUEST_DELAY_MS if self.config else 0, self._request, version, peer)
+        delay_ms = REQUEST_DELAY_MS if self.config else 0
+        self._request_timer = call_later(delay_ms, self._request, version, peer)
 
     def _request(self, version: int, peer: Peer) -> None:
-        self._request_scheduled = False
+        self._request_timer = None
         if version > self.version:
+            self._request_timer = call_later(REQUEST_TIMEOUT_MS, self._end_request)
             peer.send_frame(ConfigRequest())
+
+    def _end_request(self) -> None:
+        if self._request_timer is not None:
+            self._request_timer.cancel()
+            self._request_timer = None
