Send configuration between daemons as differences

Cause: whoever watches the store sent each version whole to each daemon of its data centre, 116 KB x 29 and more over a link that may carry 7 Mbit/s; requests, pings and later versions waited behind. Fix: a document is cut into pieces that end where a row does; peers get the pieces that their version lacks, compressed (a changed route: under 100 bytes and the head; the whole: 11 KB). A digest guards against different bases; who lacks the base asks for the whole. Builds without differences get whole copies as before. Class: state sent whole to each peer.

--- a/egretworks/configholder.py
+++ b/egretworks/configholder.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Protocol
 
-from egretworks.exceptions import ConfigInvalid
-from egretworks.linkframes import ConfigCopy, ConfigRequest, Frame
+from egretworks.configdelta import Pieces, apply_edits, digest, encode_edits, split
+from egretworks.exceptions import ConfigInvalid, PeerError
+from egretworks.linkframes import ConfigCopy, ConfigDelta, ConfigRequest, Frame
 from egretworks.meshroutes import CallerLimits, MeshConfig, RouteIndex, check_config
 from egretworks.streams import Timer, call_later
 from egretworks.timeline import Timeline
@@ -18,12 +20,20 @@
 REQUEST_DELAY_MS = 150
 # After this time without an answer another peer may be asked.
 REQUEST_TIMEOUT_MS = 500
+# Versions of which the pieces are kept, so that a daemon that is as far behind gets differences.
+# They share the pieces that did not change.
+KEPT_VERSIONS = 32
 
 log = logging.getLogger(__name__)
 
 
-class Peer(Protocol):
-    """Send frames to another daemon."""
+class ConfigPeer(Protocol):
+    """Send frames to another daemon, and tell which configuration it has."""
+
+    # The version in force at the peer as far as is known.
+    peer_version: Version
+    # Whether the peer reads `ConfigDelta`.
+    reads_deltas: bool
 
     def send_frame(self, frame: Frame) -> None:
         """Send `frame`."""
@@ -43,6 +53,9 @@
         self._timeline = timeline
         self._on_change = on_change
         self._document = b""
+        self._pieces_by_version: OrderedDict[Version, Pieces] = OrderedDict()
+        # Differences from earlier versions to the one in force.
+        self._delta_by_base: dict[Version, ConfigDelta] = {}
         # Set while a request to a peer is scheduled or unanswered.
         self._request_timer: Timer | None = None
         self.config: MeshConfig | None = None
@@ -72,7 +85,7 @@
             return False
         try:
             config = self._decode(document)
-            check_config(config)
+            check_config(config, self.config)
         except ConfigInvalid as error:
             self._timeline.record("config_refused", detail=f"from {source}: {error.message}")
             return False
@@ -82,8 +95,8 @@
                     "config_older", version=config.version, detail=f"from {source}"
                 )
             return False
+        self._keep(document, config.version)
         self.config = config
-        self._document = document
         self.index = RouteIndex(config.routes)
         self._timeline.record(
             "config_in_force",
@@ -93,37 +106,103 @@
         self._on_change()
         return True
 
-    def apply_copy(self, copy: ConfigCopy, peer: InstanceId | None) -> None:
+    def apply_copy(self, copy: ConfigCopy, peer: InstanceId) -> None:
         """Apply a copy received from a peer if it is newer."""
         self._end_request()
         if copy.version > self.version:
             self.apply(copy.document, f"peer {peer}")
 
-    def send_config(self, peer: Peer) -> None:
-        """Send the document in force, if any, to `peer`."""
-        if self.config is not None:
+    def apply_delta(self, delta: ConfigDelta, peer: ConfigPeer, peer_id: InstanceId) -> None:
+        """Apply the differences received from a peer if they give a newer version.
+
+        Without the version that they refer to, the whole document is requested from the peer.
+        """
+        self._end_request()
+        if delta.version <= self.version:
+            return
+        document = self._rebuild(delta)
+        if document is None:
+            self._timeline.record(
+                "config_base_missing",
+                version=delta.version,
+                detail=f"from peer {peer_id}, based on version {delta.base_version}",
+            )
+            self._send_request(peer, NO_VERSION)
+            return
+        self.apply(document, f"peer {peer_id}")
+
+    def send_config(self, peer: ConfigPeer, known_version: Version | None = None) -> None:
+        """Send the configuration in force, if any, to `peer`.
+
+        The peer gets the differences from `known_version`, by default the one that it is known to
+        have, or the whole if that is not kept here.
+        """
+        if self.config is None:
+            return
+        base = peer.peer_version if known_version is None else known_version
+        if not peer.reads_deltas:
             peer.send_frame(ConfigCopy(self.version, self._document))
+        elif base < self.version or known_version is not None:
+            peer.send_frame(self._delta_from(base))
+        peer.peer_version = self.version
 
-    def on_peer_version(self, version: int, peer: Peer) -> None:
+    def on_peer_version(self, version: int, peer: ConfigPeer) -> None:
         """Request the document from `peer` if its `version` is newer.
 
         The request is delayed and not sent if the version has come into force by then. Another one
         is made only after the answer or `REQUEST_TIMEOUT_MS`: copies that several peers send at
         once would fill this daemon's link.
         """
+        peer.peer_version = Version(version)
         if version <= self.version or self._request_timer is not None:
             return
         # A daemon without a configuration cannot serve callers, so it does not wait.
         delay_ms = REQUEST_DELAY_MS if self.config else 0
         self._request_timer = call_later(delay_ms, self._request, version, peer)
 
-    def _request(self, version: int, peer: Peer) -> None:
+    def _request(self, version: int, peer: ConfigPeer) -> None:
         self._request_timer = None
         if version > self.version:
-            self._request_timer = call_later(REQUEST_TIMEOUT_MS, self._end_request)
-            peer.send_frame(ConfigRequest())
+            self._send_request(peer, self.version)
+
+    def _send_request(self, peer: ConfigPeer, known_version: Version) -> None:
+        self._request_timer = call_later(REQUEST_TIMEOUT_MS, self._end_request)
+        peer.send_frame(ConfigRequest(known_version))
 
     def _end_request(self) -> None:
         if self._request_timer is not None:
             self._request_timer.cancel()
             self._request_timer = None
+
+    def _keep(self, document: bytes, version: Version) -> None:
+        """Keep `document` and its pieces, and drop the oldest version kept."""
+        pieces = split(document, self._pieces_by_version.get(self.version, ()))
+        self._document = document
+        self._pieces_by_version[version] = pieces
+        self._delta_by_base.clear()
+        if len(self._pieces_by_version) > KEPT_VERSIONS:
+            self._pieces_by_version.popitem(last=False)
+
+    def _delta_from(self, base: Version) -> ConfigDelta:
+        """Return the differences from version `base`, or from nothing if that is not kept."""
+        pieces = self._pieces_by_version.get(base)
+        if pieces is None:
+            base, pieces = NO_VERSION, ()
+        delta = self._delta_by_base.get(base)
+        if delta is None:
+            edits = encode_edits(pieces, self._pieces_by_version[self.version])
+            delta = ConfigDelta(self.version, base, digest(self._document), edits)
+            self._delta_by_base[base] = delta
+        return delta
+
+    def _rebuild(self, delta: ConfigDelta) -> bytes | None:
+        """Return the document that `delta` gives, or None if its base is not the one kept here."""
+        base = () if not delta.base_version else self._pieces_by_version.get(delta.base_version)
+        if base is None:
+            return None
+        try:
+            document = b"".join(apply_edits(base, delta.edits))
+        except PeerError as error:
+            log.warning("differences of version %s: %s", delta.version, error.message)
+            return None
+        return document if digest(document) == delta.digest else None
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -9,8 +9,10 @@
 from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
 from egretworks.linkframes import (
+    DELTA_PROTOCOL,
     Cancel,
     ConfigCopy,
+    ConfigDelta,
     ConfigRequest,
     Frame,
     Hello,
@@ -31,7 +33,7 @@
 from egretworks.pendingoffer import OfferHandle
 from egretworks.streams import Stream
 from egretworks.transit import TransitEstimator
-from egretworks.types import InstanceId
+from egretworks.types import NO_VERSION, InstanceId, Version
 
 # Suggested delay before a request is retried that was refused because body memory was full.
 BODY_MEMORY_WAIT_MS = 100.0
@@ -64,6 +66,9 @@
         self._in_flight_by_serial: dict[int, _InFlight] = {}
         self._peer_incarnation = UNKNOWN_PEER
         self._ended = False
+        # See `ConfigPeer`.
+        self.peer_version = NO_VERSION
+        self.reads_deltas = False
         host.inbound_links.add(self)
         self._stream.start(self)
 
@@ -123,6 +128,7 @@
         elif isinstance(frame, Hello):
             self._peer_incarnation = PeerIncarnation(frame.row.id, frame.row.incarnation)
             self._stream.peer = self.peer
+            self.reads_deltas = frame.protocol >= DELTA_PROTOCOL
             self._queued_ms(frame)
             self.send_frame(self._host.hello())
             self._host.merge_rows([frame.row, *frame.rows])
@@ -132,9 +138,11 @@
         elif isinstance(frame, OutcomeQuery):
             self._answer_outcome_query(frame.serials)
         elif isinstance(frame, ConfigRequest):
-            self._host.config.send_config(self)
+            self._host.config.send_config(self, Version(frame.known_version))
         elif isinstance(frame, ConfigCopy):
             self._host.config.apply_copy(frame, self.peer)
+        elif isinstance(frame, ConfigDelta):
+            self._host.config.apply_delta(frame, self, self.peer)
 
     def _queued_ms(self, frame: Hello | Offer | Ping) -> float:
         """Return how long `frame` was queued on its way; 0 if an older build sent it."""
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -11,6 +11,9 @@
 from egretworks.rows import DaemonRow
 
 LENGTH_BYTES = 4
+# Version of this build's frames, and the first that has `ConfigDelta`.
+LINK_PROTOCOL = 2
+DELTA_PROTOCOL = 2
 # Large enough for a request or response with the largest permitted body and headers.
 MAX_FRAME_BYTES = 80_000_000
 
@@ -65,6 +68,8 @@
     rows: list[DaemonRow]
     # When the frame was sent, by the sender's clock since boot; None from an older build.
     sent_at: float | None = None
+    # The `LINK_PROTOCOL` of the sender.
+    protocol: int = 1
 
 
 class Offer(msgspec.Struct, array_like=True, frozen=True, tag=2):
@@ -152,6 +157,9 @@
 class ConfigRequest(msgspec.Struct, array_like=True, frozen=True, tag=10):
     """Request the configuration in force at the peer."""
 
+    # The version in force at the sender, to which the peer may send the differences; 0 for none.
+    known_version: int = 0
+
 
 class ConfigCopy(msgspec.Struct, array_like=True, frozen=True, tag=11):
     """Carry a configuration document exactly as the operator wrote it."""
@@ -160,6 +168,17 @@
     document: bytes
 
 
+class ConfigDelta(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """Carry a configuration document as its differences from an earlier one."""
+
+    version: int
+    # The version of the earlier document; 0 for an empty one.
+    base_version: int
+    # Digest of the whole document, as the bases of two daemons might differ.
+    digest: int
+    edits: bytes
+
+
 class OutcomeQuery(msgspec.Struct, array_like=True, frozen=True, tag=12):
     """Query the outcomes of offers that were in flight when an earlier link broke."""
 
@@ -180,6 +199,7 @@
     | ConfigRequest
     | ConfigCopy
     | OutcomeQuery
+    | ConfigDelta
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -12,7 +12,7 @@
 from egretworks.clock import Clock
 from egretworks.configholder import ConfigHolder
 from egretworks.gate import Gate
-from egretworks.linkframes import Hello
+from egretworks.linkframes import LINK_PROTOCOL, Hello
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.rows import DaemonRow, RowTable
@@ -45,7 +45,11 @@
     def hello(self) -> Hello:
         """Return the frame that opens a link."""
         return Hello(
-            self.rows.own, self.config.version, self.rows.all_rows(), self.clock.since_boot()
+            self.rows.own,
+            self.config.version,
+            self.rows.all_rows(),
+            self.clock.since_boot(),
+            LINK_PROTOCOL,
         )
 
     def merge_rows(self, rows: list[DaemonRow]) -> None:
--- a/egretworks/meshroutes.py
+++ b/egretworks/meshroutes.py
@@ -66,11 +66,17 @@
     limits: CallerLimits = CallerLimits()
 
 
-def check_config(config: MeshConfig) -> None:
-    """Raise `ConfigInvalid` if a route is invalid or two routes have the same host and prefix."""
+def check_config(config: MeshConfig, valid: MeshConfig | None = None) -> None:
+    """Raise `ConfigInvalid` if a route is invalid or two routes have the same host and prefix.
+
+    Routes that `config` shares with `valid`, a configuration that was checked before, are not
+    checked again if the services are the same.
+    """
     seen = set()
+    checked = _identities_of_checked_routes(config, valid)
     for route in config.routes:
-        _check_route(route, config)
+        if id(route) not in checked:
+            _check_route(route, config)
         key = (route.host, route.prefix)
         if key in seen:
             raise ConfigInvalid(
@@ -80,6 +86,12 @@
         seen.add(key)
 
 
+def _identities_of_checked_routes(config: MeshConfig, valid: MeshConfig | None) -> set[int]:
+    if valid is None or valid.services_by_name.keys() != config.services_by_name.keys():
+        return set()
+    return {id(route) for route in valid.routes}
+
+
 def _check_route(route: MeshRoute, config: MeshConfig) -> None:
     if not route.host:
         raise ConfigInvalid(f"route {route.name} has no host")
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -10,9 +10,11 @@
 from egretworks.exceptions import PeerError
 from egretworks.linkcoding import CompressedCoding, PlainCoding
 from egretworks.linkframes import (
+    DELTA_PROTOCOL,
     Answered,
     Cancel,
     ConfigCopy,
+    ConfigDelta,
     ConfigRequest,
     Frame,
     GateReport,
@@ -33,7 +35,7 @@
 from egretworks.rows import DaemonRow
 from egretworks.streams import Stream, connect
 from egretworks.targetselection import TargetEstimate
-from egretworks.types import InstanceId
+from egretworks.types import NO_VERSION, InstanceId, Version
 
 CONNECT_TIMEOUT_MS = 600
 # A peer that sends nothing for this long while requests are in flight is pinged.
@@ -97,6 +99,9 @@
         self._delay_ms = 0.0
         self._reconnect_at = Millis(0)
         self._failures = 0
+        # See `ConfigPeer`.
+        self.peer_version = NO_VERSION
+        self.reads_deltas = False
 
     @property
     def name(self) -> InstanceId:
@@ -237,8 +242,10 @@
             self._host.merge_rows(frame.rows)
         elif isinstance(frame, ConfigCopy):
             self._host.config.apply_copy(frame, self.row.id)
+        elif isinstance(frame, ConfigDelta):
+            self._host.config.apply_delta(frame, self, self.row.id)
         elif isinstance(frame, ConfigRequest):
-            self._host.config.send_config(self)
+            self._host.config.send_config(self, Version(frame.known_version))
 
     def _handle_hello(self, hello: Hello) -> None:
         self._host.merge_rows([hello.row, *hello.rows])
@@ -248,6 +255,7 @@
             return
         self._ready = True
         self._failures = 0
+        self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
         self._host.timeline.record("link_up", target=self.row.id)
         self._query_outcomes()
         self._host.config.on_peer_version(hello.config_version, self)
--- a/tests/test_mesh_beliefs.py
+++ b/tests/test_mesh_beliefs.py
@@ -27,6 +27,18 @@
         self.highest = 0
 
 
+class Peer:
+    """Collect the frames that are sent to a daemon."""
+
+    def __init__(self, peer_version, reads_deltas):
+        self.peer_version = peer_version
+        self.reads_deltas = reads_deltas
+        self.frames = []
+
+    def send_frame(self, frame):
+        self.frames.append(frame)
+
+
 class MeshBeliefs(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
@@ -51,15 +63,11 @@
         self.daemons[id].config.apply(self.versions[-1][:-missing_bytes], "store")
         assert self.daemons[id].config.version == before
 
-    @rule(id=DAEMONS, to=DAEMONS)
-    def a_daemon_sends_its_rows_and_configuration(self, id, to):
-        config = self.daemons[id].config
-        copies = []
-        if config.config is not None:
-            config.send_config(
-                type("Peer", (), {"send_frame": lambda _, frame: copies.append(frame)})()
-            )
-        self.messages.append((id, to, self.daemons[id].table.all_rows(), copies))
+    @rule(id=DAEMONS, to=DAEMONS, reads_deltas=st.booleans())
+    def a_daemon_sends_its_rows_and_configuration(self, id, to, reads_deltas):
+        peer = Peer(self.daemons[to].config.version, reads_deltas)
+        self.daemons[id].config.send_config(peer)
+        self.messages.append((id, to, self.daemons[id].table.all_rows(), peer.frames))
 
     @rule(data=st.data(), duplicate=st.booleans())
     def a_message_arrives(self, data, duplicate):
@@ -90,6 +98,9 @@
         for daemon in self.daemons.values():
             assert daemon.config.version >= daemon.highest
             daemon.highest = daemon.config.version
+            document = Peer(0, reads_deltas=False)
+            daemon.config.send_config(document)
+            assert all(frame.document in self.versions for frame in document.frames)
 
     def teardown(self):
         """Check that all daemons agree on the newest version and rows once all can communicate."""
@@ -112,7 +123,10 @@
         daemon = self.daemons[to]
         daemon.table.merge(rows)
         for copy in copies:
-            daemon.config.apply_copy(ConfigCopy(copy.version, copy.document), sender)
+            if isinstance(copy, ConfigCopy):
+                daemon.config.apply_copy(copy, sender)
+            else:
+                daemon.config.apply_delta(copy, Peer(0, reads_deltas=True), sender)
 
 
 TestMeshBeliefs = MeshBeliefs.TestCase
