Count the time that an offer is queued on its way as its caller's time

What callers saw: GONE on both grown sites; requests reached a target up to 2.4 s after their caller had left, and ran. Cause: an offer states the time left when it is sent, and the receiving daemon counted it from the arrival. On a link that was full for two seconds the offer was run as new, and the cancel came behind it. Fix: daemons compare when a frame was sent and received with the shortest such difference lately (transit.py), so that clocks needn't agree; what an offer was queued is taken off its time left and its objective, and one that was queued for over 400 ms (the rule allows 500) or has no time left is refused as expired, which costs no retry budget: the caller's daemon offers it elsewhere if its caller is still there. Class: a relative deadline that does not age in queues. Looked for elsewhere: the gate's queue counts from arrival and expires entries; the caller's side counts from the request's last byte; outcomes need no age.

--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -40,6 +40,9 @@
 
 # An offer that was queued on its way for longer is logged.
 LOGGED_TRANSIT_MS = 250.0
+# An offer that was queued on its way for longer is refused: its caller may have left meanwhile, and
+# the cancel is queued behind it. The caller's daemon knows, and offers it elsewhere if not.
+MAX_TRANSIT_MS = 400.0
 
 # Identifies the peer until its `Hello` has arrived.
 UNKNOWN_PEER = PeerIncarnation(InstanceId(""), 0)
@@ -115,7 +118,6 @@
 
     def _handle(self, frame: Frame) -> None:
         if isinstance(frame, Offer):
-            self._record_transit(frame)
             self._handle_offer(frame)
         elif isinstance(frame, Cancel):
             request = self._in_flight_by_serial.pop(frame.serial, None)
@@ -150,8 +152,7 @@
             return 0.0
         return self._transit.queued_ms(Millis(frame.sent_at), self._host.clock.since_boot())
 
-    def _record_transit(self, offer: Offer) -> None:
-        queued_ms = self._queued_ms(offer)
+    def _record_transit(self, offer: Offer, queued_ms: float) -> None:
         self._host.metrics.observe("link_queued", queued_ms)
         if queued_ms > LOGGED_TRANSIT_MS:
             self._host.calls.failure(
@@ -163,8 +164,22 @@
             )
 
     def _handle_offer(self, offer: Offer) -> None:
-        body_budget, size = self._host.body_budget, len(offer.body)
+        """Pass an offer to the gate with the time that it has left after its way."""
         self._host.orphaned_offers.record_offer(self._peer_incarnation, offer.serial)
+        queued_ms = self._queued_ms(offer)
+        self._record_transit(offer, queued_ms)
+        offer = msgspec.structs.replace(
+            offer,
+            left_ms=offer.left_ms - queued_ms,
+            objective_left_ms=offer.objective_left_ms - queued_ms,
+        )
+        if queued_ms > MAX_TRANSIT_MS or offer.left_ms <= 0:
+            self.send_frame(self._host.gate.refusal(offer, RefusalReason.EXPIRED, 0.0))
+            return
+        self._offer_to_gate(offer)
+
+    def _offer_to_gate(self, offer: Offer) -> None:
+        body_budget, size = self._host.body_budget, len(offer.body)
         if not body_budget.reserve(size):
             self.send_frame(self._host.gate.refusal(offer, RefusalReason.BUSY, BODY_MEMORY_WAIT_MS))
             return
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -23,7 +23,7 @@
 
     # Its expected wait in the queue is too long, or body memory is full.
     BUSY = 1
-    # It waited in the queue until it was too late to start it.
+    # It waited in the queue, or on its way to this daemon, until it was too late to start it.
     EXPIRED = 2
     # The target or the daemon does not accept requests for the service.
     NOT_SERVING = 3
