Keep to the limit that a target states in its answers

Cause: the gate bounded requests at once (slots), never requests a second; nothing read Server-Limit. A request that can't have its turn in time is refused at once with when to come back; it has reached no target. The gate reports the slots that the rate can fill, so that callers' daemons choose others beforehand. The limit follows each signed or not-run answer of this life of the target and ends with it; values that are no number get a log line. A health answer can set a limit, so that a restarted gate may know it before its first request; otherwise the first answers tell, after at most the target's slots. Class: a bound on concurrency where the promise is about a rate.

--- a/egretworks/edge.py
+++ b/egretworks/edge.py
@@ -47,6 +47,15 @@
     encoded: bool
 
 
+class TargetNotice(msgspec.Struct, frozen=True):
+    """Hold what a target's answer states about the target itself."""
+
+    # How many requests a second the target takes, from all daemons together; None for no limit.
+    limit_per_s: float | None = None
+    # Why a stated limit can't be used; empty if it can or there is none.
+    invalid_limit: str = ""
+
+
 class Heartbeat(msgspec.Struct, frozen=True):
     """Periodic report of a target about its own state."""
 
@@ -85,6 +94,9 @@
     def read_answer_metadata(self, response: Response) -> AnswerMetadata:
         """Return what the headers of an answer state about it."""
 
+    def read_notice(self, response: Response) -> TargetNotice:
+        """Return what the target states about itself in an answer."""
+
     def health_request(self, path: str, host: str) -> bytes:
         """Return an encoded health check request for `path` on `host`."""
 
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -92,7 +92,7 @@
         """Return the current load of the target."""
         queue = self.queue
         return GateReport(
-            queue.slots,
+            queue.usable_slots,
             queue.load,
             round(queue.processing_times.mean, 1),
             round(self._failure_rate * 100),
@@ -253,6 +253,9 @@
             id = self.host.edge.healthy_target(outcome)
         if id is not None and self._tracker.confirm(id):
             self._record_change()
+        if id == incarnation.id and self.host.edge.read_notice(outcome).limit_per_s is not None:
+            # A daemon that has just started learns the limit before its first request.
+            self.apply_notice(incarnation, outcome)
         if id == incarnation.id and incarnation.gone:
             incarnation.gone = False
             self._record_change()
@@ -272,6 +275,23 @@
             incarnation.confirmed = False
             self._record_change()
 
+    def apply_notice(self, incarnation: TargetIncarnation, response: Response) -> None:
+        """Follow what the target states about itself in an answer; the last answer counts."""
+        if incarnation is not self._tracker.current:
+            return
+        notice = self.host.edge.read_notice(response)
+        if notice.invalid_limit:
+            self.host.calls.failure(
+                "target_limit_ignored", "", target=incarnation.id, reason=notice.invalid_limit
+            )
+            return
+        if self.queue.rate_limit.set_rate(notice.limit_per_s, self.host.clock.now()):
+            self.host.timeline.record(
+                "target_limit_changed",
+                target=incarnation.id,
+                facts={"per_s": notice.limit_per_s, "slots": self.queue.slots},
+            )
+
     def _refuse_waiting(self) -> None:
         for entry in self.queue.remove_all():
             pending = self._pending_by_entry.pop(entry)
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
-from egretworks.clock import Millis
+from egretworks.clock import MILLIS_PER_SECOND, Millis
+from egretworks.ratelimit import RateLimit
 
 # Assumed processing time until the first requests have been measured.
 INITIAL_PROCESSING_MS = 60.0
@@ -97,12 +100,13 @@
 class GateQueue:
     """Count the used slots of one target and hold the requests that wait for one.
 
-    The owner calls `admit` when a slot becomes free, so that requests wait only while all slots
-    are in use.
+    The owner calls `admit` when a slot becomes free, and from time to time while requests wait, so
+    that they wait only while all slots are in use or the target's rate limit is reached.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.rate_limit = RateLimit()
         self.processing_times = ProcessingTimes()
         self._waiting: list[QueueEntry] = []
         self._running = 0
@@ -119,9 +123,19 @@
         """Return the number of requests that run."""
         return self._running
 
+    @property
+    def usable_slots(self) -> int:
+        """Return how many slots are in use on average when the target gets all that it allows."""
+        per_second = self.rate_limit.per_second
+        if per_second is None:
+            return self.slots
+        used = per_second * self.processing_times.mean / MILLIS_PER_SECOND
+        return max(1, min(self.slots, math.ceil(used)))
+
     def enter(self, entry: QueueEntry, now: Millis) -> AdmissionDecision:
         """Run or queue `entry`, or refuse it if it would start too late."""
-        if self._running < self.slots and not self._waiting:
+        slot_free = self._running < self.slots
+        if slot_free and not self._waiting and self.rate_limit.try_take(now):
             self._running += 1
             return AdmissionDecision(run=True)
         entry.latest_start = self._latest_start(entry, now)
@@ -145,10 +159,12 @@
     def admit(self, now: Millis) -> QueueEntry | None:
         """Give a free slot to the first waiting request and return it.
 
-        Returns None if no slot is free or nothing waits.
+        Returns None if no slot is free, nothing waits, or the target's rate limit is reached.
         """
         if self._running >= self.slots or not self._waiting:
             return None
+        if not self.rate_limit.try_take(now):
+            return None
         entry = min(self._waiting, key=lambda waiting: self._sort_key(waiting, now))
         self._waiting.remove(entry)
         self._running += 1
@@ -177,13 +193,15 @@
         return (entry.priority, late, entry.objective_at)
 
     def _expected_wait_ms(self, entry: QueueEntry, now: Millis) -> float:
-        """Return the expected wait of `entry` for a slot, in milliseconds."""
+        """Return the expected wait of `entry` for a slot and its turn, in milliseconds."""
         key = self._sort_key(entry, now)
+        ahead = [waiting for waiting in self._waiting if self._sort_key(waiting, now) <= key]
+        turn_ms = self.rate_limit.wait_ms(now, len(ahead) + 1)
+        if self._running < self.slots:
+            return turn_ms
         backlog_ms = self.processing_times.mean
-        for waiting in self._waiting:
-            if self._sort_key(waiting, now) <= key:
-                backlog_ms += self.processing_times.mean_of(waiting.route)
-        return backlog_ms / max(1, self.slots)
+        backlog_ms += sum(self.processing_times.mean_of(waiting.route) for waiting in ahead)
+        return max(turn_ms, backlog_ms / max(1, self.slots))
 
     def _is_overloaded(self, priority: int, now: Millis) -> bool:
         """Return whether there is a standing queue of requests at least as urgent as `priority`."""
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -169,6 +169,8 @@
             return self._lost(LossReason.TIMED_OUT if timed_out else LossReason.BROKEN)
         metadata = self._host.edge.read_answer_metadata(outcome)
         # 421 Misdirected Request: another target answers at the address.
+        if outcome.status != 421 and (metadata.signed or metadata.not_run):
+            gate.apply_notice(self._incarnation, outcome)
         if metadata.not_run or outcome.status == 421:
             if outcome.status == 421:
                 gate.on_wrong_target(self._incarnation)
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -51,6 +51,7 @@
         self.sequence = 0
         self.healthy = True
         self.runs = []
+        self.run_times = []
         self.headers = []
         self.running = 0
         self.max_running = 0
@@ -59,11 +60,12 @@
         self._lock = threading.Lock()
         super().__init__(self._serve)
 
-    def response(self, id, body, status="200 OK", stamp="s"):
+    def response(self, id, body, status="200 OK", stamp="s", headers=()):
         """Return the bytes of a complete response, signed unless `stamp` is empty."""
         lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", f"X-Egret-Attempt-Id: {id}"]
         if stamp:
             lines.append(f"X-Egret-Stamp: {stamp}")
+        lines += headers
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     def heartbeat(self, daemon, state="ready", **changes):
@@ -112,6 +114,7 @@
         id = headers.get("x-egret-attempt-id", "")
         with self._lock:
             self.runs.append(id)
+            self.run_times.append(time.monotonic())
             self.headers.append(headers)
             self.running += 1
             self.max_running = max(self.max_running, self.running)
