Let a target leave that says so in its answers

What callers would see: DRAIN by answers, a request that reaches a target later than drainMs after an answer with Server-Leaving was passed on. Cause: only heartbeats and departures started a drain. A restart of that daemon excuses only requests that began at it, so its peers give it its own earlier row back in their hello, which says that this life of the target leaves: then nothing at all is sent. Health checks, which may be untrue, can't undo it; a later life is served. Class: knowledge that dies with the process that had it. Rows have a field more; older builds pass over it.

--- a/egretworks/edge.py
+++ b/egretworks/edge.py
@@ -54,6 +54,8 @@
     limit_per_s: float | None = None
     # Why a stated limit can't be used; empty if it can or there is none.
     invalid_limit: str = ""
+    # Whether the target is leaving.
+    leaving: bool = False
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -8,7 +8,7 @@
 
 from egretworks.calllog import CallLog
 from egretworks.clock import Clock, Millis
-from egretworks.edge import Departure, Edge, Heartbeat
+from egretworks.edge import Departure, Edge, Heartbeat, TargetNotice
 from egretworks.gatequeue import GateQueue, QueueEntry
 from egretworks.httpwire import Response
 from egretworks.linkframes import GateReport, Offer, RefusalReason, Refused
@@ -71,6 +71,8 @@
         self._failure_rate = 0.0
         self._sweep_scheduled = False
         self._checking = False
+        # The target as an earlier run of this daemon last described it to the others.
+        self._earlier_target: TargetRow | None = None
         self.stopping = False
 
     @property
@@ -85,7 +87,12 @@
             return None
         serving = incarnation.serving and not self.stopping
         return TargetRow(
-            incarnation.id, incarnation.born, incarnation.service, incarnation.slots, serving
+            incarnation.id,
+            incarnation.born,
+            incarnation.service,
+            incarnation.slots,
+            serving,
+            incarnation.drain_ends_at is not None,
         )
 
     def report(self) -> GateReport:
@@ -111,6 +118,7 @@
             return
         if incarnation is not before:
             self._start_incarnation(incarnation)
+            self._continue_leaving()
         self.queue.slots = incarnation.slots
         if changed:
             self._record_change()
@@ -253,9 +261,8 @@
             id = self.host.edge.healthy_target(outcome)
         if id is not None and self._tracker.confirm(id):
             self._record_change()
-        if id == incarnation.id and self.host.edge.read_notice(outcome).limit_per_s is not None:
-            # A daemon that has just started learns the limit before its first request.
-            self.apply_notice(incarnation, outcome)
+        if id == incarnation.id:
+            self._apply_health_notice(incarnation, outcome)
         if id == incarnation.id and incarnation.gone:
             incarnation.gone = False
             self._record_change()
@@ -280,6 +287,37 @@
         if incarnation is not self._tracker.current:
             return
         notice = self.host.edge.read_notice(response)
+        if notice.leaving:
+            self._start_leaving()
+        self._apply_limit(incarnation, notice)
+
+    def _apply_health_notice(self, incarnation: TargetIncarnation, response: Response) -> None:
+        """Follow what a health answer states; a limit that it does not state may still hold."""
+        notice = self.host.edge.read_notice(response)
+        if notice.leaving:
+            self._start_leaving()
+        if notice.limit_per_s is not None:
+            self._apply_limit(incarnation, notice)
+
+    def apply_earlier_target(self, earlier: TargetRow) -> None:
+        """Follow what an earlier run of this daemon knew of the target."""
+        self._earlier_target = earlier
+        self._continue_leaving()
+
+    def _continue_leaving(self) -> None:
+        """Send the target nothing if an earlier run of this daemon knew that it leaves."""
+        earlier, incarnation = self._earlier_target, self._tracker.current
+        if earlier is None or incarnation is None or not earlier.leaving:
+            return
+        is_same = (earlier.id, earlier.born) == (incarnation.id, incarnation.born)
+        if is_same and self._tracker.end_drain(self.host.clock.now()):
+            self._record_change()
+
+    def _start_leaving(self) -> None:
+        if self._tracker.start_leaving(self.host.clock.now()):
+            self._record_change()
+
+    def _apply_limit(self, incarnation: TargetIncarnation, notice: TargetNotice) -> None:
         if notice.invalid_limit:
             self.host.calls.failure(
                 "target_limit_ignored", "", target=incarnation.id, reason=notice.invalid_limit
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -135,7 +135,7 @@
             self._stream.peer = self.peer
             self.reads_deltas = frame.protocol >= DELTA_PROTOCOL
             self._queued_ms(frame)
-            self.send_frame(self._host.hello(frame.protocol))
+            self.send_frame(self._host.hello(self.peer, frame.protocol))
             self._host.merge_rows([frame.row, *frame.rows])
             self._host.config.on_peer_version(frame.config_version, self)
             self._host.member_sync.on_peer_members(frame.members, self)
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -65,7 +65,7 @@
 
     row: DaemonRow
     config_version: int
-    # All rows that the sender knows if the peer is of an older build, else empty.
+    # The row of the peer as the sender knows it; all known rows if the peer is of an older build.
     rows: list[DaemonRow]
     # When the frame was sent, by the sender's clock since boot; None from an older build.
     sent_at: float | None = None
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -16,8 +16,9 @@
 from egretworks.membersync import MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
-from egretworks.rows import DaemonRow, RowTable
+from egretworks.rows import DaemonRow, RowTable, TargetRow
 from egretworks.timeline import Timeline
+from egretworks.types import InstanceId
 
 if TYPE_CHECKING:
     from egretworks.inboundlinks import InboundLink
@@ -43,14 +44,22 @@
     on_rows_changed: Callable[[list[DaemonRow]], None]
     # Called with this daemon's row if merging gave it a new incarnation.
     on_own_row_changed: Callable[[DaemonRow], None]
+    # Called with the target that an earlier run of this daemon last described.
+    on_earlier_target: Callable[[TargetRow], None]
 
-    def hello(self, peer_protocol: int = LINK_PROTOCOL) -> Hello:
-        """Return the frame that opens a link to a peer whose frames are of `peer_protocol`."""
-        asks_for_rows = peer_protocol >= DELTA_PROTOCOL
+    def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
+        """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
+
+        The peer gets its own row back, as a daemon that was restarted has forgotten it.
+        """
+        if peer_protocol < DELTA_PROTOCOL:
+            rows = self.rows.all_rows()
+        else:
+            rows = [self.rows.rows_by_id[peer]] if peer in self.rows.rows_by_id else []
         return Hello(
             self.rows.own,
             self.config.version,
-            [] if asks_for_rows else self.rows.all_rows(),
+            rows,
             self.clock.since_boot(),
             LINK_PROTOCOL,
             self.rows.members,
@@ -58,8 +67,10 @@
 
     def merge_rows(self, rows: list[DaemonRow]) -> None:
         """Merge `rows` into the row table and notify the daemon of what changed."""
-        own = self.rows.own
+        own, earlier_target = self.rows.own, self.rows.earlier_target
         changed = self.rows.merge(rows)
+        if self.rows.earlier_target not in (None, earlier_target):
+            self.on_earlier_target(self.rows.earlier_target)
         if changed:
             self.on_rows_changed(changed)
         if self.rows.own is not own:
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -219,7 +219,7 @@
         # The peer's `Hello` is awaited with the same timeouts as a pong.
         self._awaiting_since = now
         self._stream.start(self)
-        self._send(self._host.hello())
+        self._send(self._host.hello(self.row.id))
 
     def _back_off(self, now: Millis) -> None:
         self._failures += 1
--- a/egretworks/rows.py
+++ b/egretworks/rows.py
@@ -20,6 +20,8 @@
     slots: int
     # True if the target accepts new requests.
     serving: bool
+    # True once the target has announced, or stated in an answer, that it leaves.
+    leaving: bool = False
 
 
 class DaemonRow(msgspec.Struct, frozen=True, array_like=True):
@@ -75,6 +77,9 @@
     def __init__(self, own: DaemonRow) -> None:
         self.own = own
         self.rows_by_id: dict[InstanceId, DaemonRow] = {}
+        # The target of this daemon as an earlier run of the daemon last described it.
+        self.earlier_target: TargetRow | None = None
+        self._earlier_run: DaemonRow | None = None
         # None until it is computed for the present ids.
         self._members: int | None = None
 
@@ -119,5 +124,10 @@
         return [self.own, *self.rows_by_id.values()]
 
     def _supersede_earlier_run(self, earlier: DaemonRow) -> None:
+        if earlier.incarnation != self.own.incarnation and (
+            self._earlier_run is None or earlier.supersedes(self._earlier_run)
+        ):
+            self._earlier_run = earlier
+            self.earlier_target = earlier.target
         if earlier.incarnation > self.own.incarnation:
             self.change_own(incarnation=earlier.incarnation + 1)
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -127,6 +127,7 @@
             set(),
             self._on_rows_changed,
             self._publish,
+            self._gate.apply_earlier_target,
         )
         self._links_by_id: dict[InstanceId, OutboundLink] = {}
         self._forwarder = Forwarder(self._forward_host())
--- a/egretworks/targettracker.py
+++ b/egretworks/targettracker.py
@@ -90,6 +90,18 @@
             return False
         return self._start_drain(now)
 
+    def start_leaving(self, now: Millis) -> bool:
+        """Start the drain of the current target; return False if it has started before."""
+        return self._start_drain(now)
+
+    def end_drain(self, now: Millis) -> bool:
+        """End the drain of the current target at once; return False if it has ended before."""
+        ends_at = self.current.drain_ends_at
+        if ends_at is not None and ends_at <= now:
+            return False
+        self.current.drain_ends_at = now
+        return True
+
     def confirm(self, id: TargetId) -> bool:
         """Mark the target as confirmed if its id is `id`; return whether that changed anything."""
         incarnation = self.current
--- a/tests/linkpipes.py
+++ b/tests/linkpipes.py
@@ -128,6 +128,7 @@
         set(),
         lambda rows: None,
         lambda row: None,
+        lambda target: None,
     )
 
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -85,3 +85,65 @@
         assert portal.call("/give/x", method="POST", id=f"next{number}")[0] == 200
     status, _, body = ask(ledger.ports["metrics"], "GET", "/metrics")
     assert status == 200 and b"egret_gate_refused" not in body
+
+
+DRAIN_S = 2.0
+
+
+def call_for(sidecar, seconds, prefix):
+    """Send one request after the other for `seconds`."""
+    ends_at, number = time.monotonic() + seconds, 0
+    while time.monotonic() < ends_at:
+        number += 1
+        sidecar.call("/give/x", method="POST", id=f"{prefix}{number}", left_ms=400)
+        time.sleep(0.02)
+
+
+# Guards against DRAIN: a target that had said only in its answers that it leaves got requests later
+# than the drain time after one had been passed on.
+def test_a_target_that_states_in_an_answer_that_it_leaves_gets_nothing_after_its_drain(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    state(ledger.target, "Server-Leaving: 1")
+    assert portal.call("/give/x", method="POST", id="first")[0] == 200
+    passed_on_at = time.monotonic()
+    for daemon in (portal, ledger):
+        call_for(daemon, 1.5 * DRAIN_S, daemon.id)
+        # Its heartbeats may still say otherwise.
+        ledger.target.heartbeat(ledger)
+    assert max(ledger.target.run_times) <= passed_on_at + DRAIN_S
+
+
+# Guards against DRAIN: the daemon beside the target was restarted and had forgotten.
+def test_a_restarted_daemon_sends_nothing_to_a_target_that_had_stated_that_it_leaves(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    state(ledger.target, "Server-Leaving: 1")
+    assert portal.call("/give/x", method="POST", id="first")[0] == 200
+    time.sleep(DRAIN_S)
+    runs = len(ledger.target.runs)
+    ledger.kill()
+    ledger.start()
+    wait_for(ledger.ready, "the daemon to be ready again")
+    wait_for(lambda: len(portal.events("link_up")) >= 2, "the link to the daemon")
+    assert ledger.target.heartbeat(ledger) == 200
+    call_for(portal, 1.0, "after")
+    assert len(ledger.target.runs) == runs
+
+
+def test_a_later_life_of_the_target_is_served_again(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    state(ledger.target, "Server-Leaving: 1")
+    assert portal.call("/give/x", method="POST", id="first")[0] == 200
+    state(ledger.target)
+    ledger.target.born += 1_000
+    assert ledger.target.heartbeat(ledger) == 200
+
+    def served():
+        return portal.call("/give/x", method="POST", id=f"t{time.monotonic()}")[0] == 200
+
+    wait_for(served, "the next life of the target to be served")
+
+
+def test_only_the_value_1_states_that_a_target_leaves():
+    for value, leaving in ((b"1", True), (b" 1 ", True), (b"0", False), (b"", False)):
+        notice = edge().read_notice(Response(200, [(b"Server-leaving", value)], b""))
+        assert notice.leaving is leaving
