Cut off a target's answer whose head or body never ends

Cause: a head that never ended was buffered by the parser and as headers without any bound, and each body could take 64 MB on machines of 128 MB. Fix: an incomplete head of 64 KB, a body of an eighth of the memory, or bodies of a quarter of it in sum end the exchange: the connection is closed, the outcome is lost (it may have run; idempotent requests go elsewhere), other exchanges keep their room. Time was bounded before, by the request's deadline. Class: input bounded by piece but not in sum.

--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from egretworks.bytebudget import ByteBudget
 from egretworks.calllog import CallLog
 from egretworks.clock import Clock, Millis
 from egretworks.edge import Departure, Edge, Heartbeat, TargetNotice
@@ -28,7 +29,6 @@
 from egretworks.timeline import Timeline
 from egretworks.types import ServiceName
 
-MAX_ANSWER_BYTES = 64_000_000
 # Interval at which waiting requests are checked for expiry and for free slots.
 SWEEP_INTERVAL_MS = 25
 HEALTH_TIMEOUT_MS = 1_000
@@ -53,6 +53,8 @@
     health_path: Callable[[ServiceName], str | None]
     # Called after the target's row has changed.
     on_change: Callable[[], None]
+    # Counts the body bytes of answers that are still arriving.
+    answer_budget: ByteBudget
 
 
 class Gate:
@@ -235,7 +237,7 @@
         if self._connections is not None:
             self._connections.close()
         self._connections = TargetConnections(
-            incarnation.endpoint, self.host.clock, MAX_ANSWER_BYTES
+            incarnation.endpoint, self.host.clock, self.host.answer_budget
         )
         self.queue = GateQueue(incarnation.slots)
         self._failure_rate = 0.0
--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -21,6 +21,8 @@
 )
 
 MAX_HEADER_BYTES = 32_768
+# An incomplete head may take this much more than one receive.
+MAX_RESPONSE_HEAD_BYTES = 65_536
 RECEIVE_BYTES = 65_536
 
 NOT_RUN_HEADER = b"Egret-Not-Run"
@@ -229,14 +231,20 @@
         method: str,
         max_body_bytes: int,
         matches: Callable[[Response], bool] = lambda response: True,
+        reserve: Callable[[int], bool] = lambda size: True,
     ) -> None:
         """Parse the response to a request of `method`.
 
         `matches` returns whether a response is the one to this request; others are skipped.
+        `reserve` is called with the number of body bytes to be buffered and returns whether they
+        fit into memory.
         """
         self._is_head = method == "HEAD"
         self._max_body_bytes = max_body_bytes
         self._matches = matches
+        self._reserve = reserve
+        # Bytes of an incomplete head, which the parser buffers.
+        self._head_bytes = 0
         self._skipped = False
         self._length_known = False
         self._in_body = False
@@ -249,18 +257,28 @@
 
     def feed(self, data: bytes) -> None:
         """Parse `data`, or raise `OutcomeUnknown` for a malformed or too large response."""
+        raw_head_bytes = 0 if self._in_body else len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self.response is None:
                 raise OutcomeUnknown(f"malformed HTTP response: {error}") from error
             self.response.keep_alive = False
+        if self.response is None and not self._in_body:
+            self._count_head_bytes(raw_head_bytes)
 
     def feed_eof(self) -> None:
         """Handle the end of the connection, which completes a response without a length."""
         if self.response is None and self._in_body and not self._length_known:
             self._complete(keep_alive=False)
 
+    def _count_head_bytes(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            raise OutcomeUnknown(
+                f"response headers exceed the limit of {MAX_RESPONSE_HEAD_BYTES} bytes"
+            )
+
     def on_message_begin(self) -> None:
         """Start a message; one after the complete response rules out reuse of the connection."""
         self._length_known = False
@@ -276,6 +294,7 @@
     def on_headers_complete(self) -> None:
         """Complete the response to a HEAD request, which has no body."""
         self._in_body = True
+        self._head_bytes = 0
         self._interim = self._parser.get_status_code() < 200
         if self._is_head and not self._interim:
             self._complete(keep_alive=False)
@@ -285,6 +304,8 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             raise OutcomeUnknown(f"response body exceeds the limit of {self._max_body_bytes} bytes")
+        if not self._reserve(len(data)):
+            raise OutcomeUnknown(f"not enough memory to buffer {len(data)} more bytes of a body")
         self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -58,6 +58,8 @@
 DRAIN_POLL_MS = 25
 # Fraction of the memory limit that request bodies may occupy.
 BODY_MEMORY_FRACTION = 0.25
+# Fraction of the memory limit that the bodies of arriving answers may occupy.
+ANSWER_MEMORY_FRACTION = 0.25
 
 log = logging.getLogger(__name__)
 
@@ -94,6 +96,7 @@
             incarnation=int(self._clock.wall()),
             serial=0,
         )
+        memory_bytes = settings.bounds.memory_mb * 1_000_000
         self._calls = CallLog(self._timeline, self._clock)
         self._rows = RowTable(own_row)
         self._config = ConfigHolder(edge.decode_config, self._timeline, self._on_config_applied)
@@ -107,11 +110,10 @@
                 lambda: self._settings.bounds.drain_ms,
                 self._config.health_path,
                 self._on_target_changed,
+                ByteBudget(int(memory_bytes * ANSWER_MEMORY_FRACTION)),
             )
         )
-        self._body_budget = ByteBudget(
-            int(settings.bounds.memory_mb * 1_000_000 * BODY_MEMORY_FRACTION)
-        )
+        self._body_budget = ByteBudget(int(memory_bytes * BODY_MEMORY_FRACTION))
         self._local_destination = LocalDestination(self._gate, own_row.id)
         self._link_host = LinkHost(
             self._clock,
--- a/egretworks/targetconnections.py
+++ b/egretworks/targetconnections.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from egretworks.bytebudget import ByteBudget
 from egretworks.clock import Clock, Millis
 from egretworks.exceptions import OutcomeUnknown
 from egretworks.httpwire import Response, ResponseReader
@@ -15,6 +16,9 @@
 from egretworks.types import Endpoint
 
 CONNECT_TIMEOUT_MS = 400
+# One answer may take this share of the memory for answers, so that one that never ends leaves room
+# for the others.
+MAX_ANSWER_SHARE = 0.5
 # An idle connection is not reused when less than this is left of the target's idle timeout, because
 # the target could close it while a request is on its way.
 KEEP_ALIVE_MARGIN_MS = 600
@@ -53,10 +57,11 @@
     Each connection carries one exchange at a time and is idle in between.
     """
 
-    def __init__(self, endpoint: Endpoint, clock: Clock, max_body_bytes: int) -> None:
+    def __init__(self, endpoint: Endpoint, clock: Clock, body_budget: ByteBudget) -> None:
+        """Buffer the bodies of answers that are still arriving within `body_budget`."""
         self.endpoint = endpoint
         self._clock = clock
-        self._max_body_bytes = max_body_bytes
+        self.body_budget = body_budget
         self._idle: list[_Connection] = []
 
     def send(self, exchange: Exchange) -> Callable[[], None]:
@@ -132,12 +137,15 @@
         self._exchange: Exchange | None = None
         self._reader: ResponseReader | None = None
         self._timer = None
+        # Bytes of the answer's body that this connection has reserved.
+        self._reserved_bytes = 0
         stream.start(self)
 
     def begin(self, exchange: Exchange) -> None:
         self._exchange = exchange
+        max_body_bytes = int(self._pool.body_budget.limit * MAX_ANSWER_SHARE)
         self._reader = ResponseReader(
-            exchange.method, self._pool._max_body_bytes, exchange.is_own_answer
+            exchange.method, max_body_bytes, exchange.is_own_answer, self._reserve
         )
         self._timer = call_later(exchange.timeout_ms, self._fail, ExchangeFailure.TIMED_OUT)
         self.stream.write(exchange.data)
@@ -188,8 +196,16 @@
         self.stream.close()
         on_done(failure)
 
+    def _reserve(self, size: int) -> bool:
+        reserved = self._pool.body_budget.reserve(size)
+        if reserved:
+            self._reserved_bytes += size
+        return reserved
+
     def _end_exchange(self) -> DoneCallback | None:
         """Reset the state of the exchange and return its callback, or None if there is none."""
+        self._pool.body_budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
         exchange, self._exchange, self._reader = self._exchange, None, None
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/test_targetconnections.py
+++ b/tests/test_targetconnections.py
@@ -5,14 +5,17 @@
 import threading
 import time
 
+import pytest
 from hubtools import run_hub, run_hub_for
 from rawserver import RawServer
 
+from egretworks.bytebudget import ByteBudget
 from egretworks.clock import SystemClock
 from egretworks.httpwire import Response
 from egretworks.targetconnections import Exchange, ExchangeFailure, TargetConnections
 from egretworks.types import Endpoint
 
+BODY_BUDGET = 2_000_000
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -56,7 +59,8 @@
 
 
 def connect_to(server):
-    return TargetConnections(Endpoint("127.0.0.1", server.port), SystemClock(), 1_000_000)
+    endpoint = Endpoint("127.0.0.1", server.port)
+    return TargetConnections(endpoint, SystemClock(), ByteBudget(BODY_BUDGET))
 
 
 def send(connections, timeout_ms=1_000, method="GET", data=REQUEST, id="a1"):
@@ -220,3 +224,62 @@
     answer_read.set()
     assert outcomes[0].body == b"early"
     assert connections._idle == []
+
+
+def endless(head, repeated):
+    """Return a connection handler that sends `head`, then `repeated` until the caller closes."""
+
+    def handler(sock):
+        read_request(sock)
+        sock.sendall(head)
+        while True:
+            sock.sendall(repeated * 1_000)
+
+    return handler
+
+
+STATUS = b"HTTP/1.1 200 OK\r\nX-Id: a1\r\n"
+ENDLESS = {
+    "body without a length": (STATUS + b"\r\n", b"x"),
+    "body in chunks": (STATUS + b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\nabcd\r\n"),
+    "body of another's answer": (b"HTTP/1.1 200 OK\r\nX-Id: b2\r\n\r\n", b"x"),
+    "headers": (STATUS, b"X-More: 1\r\n"),
+    "one header": (STATUS + b"X-More: ", b"y"),
+    "status line": (b"HTTP/1.1 200 ", b"O"),
+}
+
+
+# Guards against a daemon that runs out of memory over an answer that never ends.
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_an_answer_that_never_ends_is_cut_off_and_leaves_its_memory(kind):
+    server = RawServer(endless(*ENDLESS[kind]))
+    connections = connect_to(server)
+    outcomes, _ = send(connections, timeout_ms=60_000)
+    run_hub(lambda: outcomes, within_ms=20_000)
+    assert outcomes == [ExchangeFailure.BROKEN]
+    assert connections.body_budget.reserved == 0
+    # The connection was closed, which ends the server's handler.
+    run_hub(lambda: server.ended)
+
+
+def test_answers_share_the_memory_and_one_alone_does_not_take_all_of_it():
+    server = RawServer(answering(ok_response(bytes(900_000)), ok_response(bytes(900_000))))
+    connections = connect_to(server)
+    assert connections.body_budget.reserve(1_200_000)
+    outcomes, _ = send(connections)
+    run_hub(lambda: outcomes)
+    assert outcomes == [ExchangeFailure.BROKEN]
+    connections.body_budget.release(1_200_000)
+    outcomes, _ = send(connections)
+    run_hub(lambda: outcomes)
+    assert len(outcomes[0].body) == 900_000
+    assert connections.body_budget.reserved == 0
+
+
+def test_endless_bytes_after_a_complete_answer_close_the_connection():
+    server = RawServer(endless(ok_response(b"done"), b"x"))
+    connections = connect_to(server)
+    outcomes, _ = send(connections)
+    run_hub(lambda: outcomes)
+    assert outcomes[0].body == b"done"
+    run_hub(lambda: server.ended)
