--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -11,6 +11,7 @@
 from egretworks.clock import Clock, Millis
 from egretworks.edge import Departure, Edge, Heartbeat, TargetNotice
 from egretworks.gatequeue import GateQueue, QueueEntry
+from egretworks.healthchecks import HealthChecks
 from egretworks.httpwire import Response
 from egretworks.linkframes import GateReport, Offer, RefusalReason, Refused
 from egretworks.metrics import Metrics
@@ -24,17 +25,13 @@
 )
 from egretworks.rows import TargetRow
 from egretworks.streams import call_later
-from egretworks.targetconnections import Exchange, ExchangeFailure, TargetConnections
+from egretworks.targetconnections import Exchange, TargetConnections
 from egretworks.targettracker import TargetIncarnation, TargetTracker
 from egretworks.timeline import Timeline
 from egretworks.types import ServiceName
 
 # Interval at which waiting requests are checked for expiry and for free slots.
 SWEEP_INTERVAL_MS = 25
-HEALTH_TIMEOUT_MS = 1_000
-# Delays between health checks of an unreachable target. After the last check the gate waits for the
-# next heartbeat.
-RECHECK_DELAYS_MS = (200, 400, 800, 1_600)
 # Weight of the newest result in the moving average of the failure rate.
 FAILURE_RATE_EWMA_GAIN = 0.05
 
@@ -72,7 +69,7 @@
         self._pending_by_entry: dict[QueueEntry, PendingOffer] = {}
         self._failure_rate = 0.0
         self._sweep_scheduled = False
-        self._checking = False
+        self._health = HealthChecks(host, self._tracker, self.send, self._on_healthy)
         # The target as an earlier run of this daemon last described it to the others.
         self._earlier_target: TargetRow | None = None
         self.stopping = False
@@ -135,35 +132,7 @@
 
         The path for the check may have become known with a new configuration.
         """
-        incarnation = self._tracker.current
-        if (
-            incarnation is not None
-            and not incarnation.confirmed
-            and incarnation.drain_ends_at is None
-        ):
-            self.check_health()
-
-    def check_health(self, recheck: int = 0) -> None:
-        """Start a health check of the target unless one is in flight.
-
-        `recheck` is 0 for a first check and counts the checks that follow if no healthy target
-        answers.
-        """
-        incarnation = self._tracker.current
-        if incarnation is None or self._connections is None or self._checking:
-            return
-        path = self.host.health_path(incarnation.service)
-        if path is None:
-            return
-        self._checking = True
-
-        def on_done(outcome: Response | ExchangeFailure) -> None:
-            self._checking = False
-            self._on_health(incarnation, outcome, recheck)
-
-        data = self.host.edge.health_request(path, str(incarnation.endpoint))
-        self.host.metrics.count("health_checks")
-        self._connections.send(Exchange("GET", data, HEALTH_TIMEOUT_MS, lambda _: True, on_done))
+        self._health.check_if_unconfirmed()
 
     def offer(self, offer: Offer, reply: Reply) -> OfferHandle:
         """Run, queue or refuse `offer`, and return a handle that can cancel it.
@@ -252,31 +221,24 @@
         )
         self.host.on_change()
 
-    def _on_health(
-        self, incarnation: TargetIncarnation, outcome: Response | ExchangeFailure, recheck: int
-    ) -> None:
-        """Apply the result of a health check; schedule another if no healthy target answered."""
-        if incarnation is not self._tracker.current:
-            return
-        id = None
-        if isinstance(outcome, Response):
-            id = self.host.edge.healthy_target(outcome)
-        if id is not None and self._tracker.confirm(id):
+    def _on_healthy(self, incarnation: TargetIncarnation, response: Response) -> None:
+        """Apply the answer of a healthy target to a health check."""
+        id = self.host.edge.healthy_target(response)
+        if self._tracker.confirm(id):
             self._record_change()
-        if id == incarnation.id:
-            self._apply_health_notice(incarnation, outcome)
-        if id == incarnation.id and incarnation.gone:
+        if id != incarnation.id:
+            return
+        self._apply_health_notice(incarnation, response)
+        if incarnation.gone:
             incarnation.gone = False
             self._record_change()
-        if id is None and recheck < len(RECHECK_DELAYS_MS):
-            call_later(RECHECK_DELAYS_MS[recheck], self.check_health, recheck + 1)
 
     def on_unreachable(self, incarnation: TargetIncarnation) -> None:
         """Mark the target as gone after a connection to it could not be opened."""
         if incarnation is self._tracker.current and self._tracker.mark_unreachable():
             self._record_change()
             self._refuse_waiting()
-            call_later(RECHECK_DELAYS_MS[0], self.check_health, 1)
+            self._health.check_later()
 
     def on_wrong_target(self, incarnation: TargetIncarnation) -> None:
         """Mark the target as unconfirmed after another target answered at its address."""
