--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import signal
 from collections.abc import Callable
@@ -10,7 +9,6 @@
 
 import eventlet
 import eventlet.event
-import msgspec
 
 from egretworks import logs
 from egretworks.bytebudget import ByteBudget
@@ -35,6 +33,7 @@
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.outboundlinks import OutboundLink
 from egretworks.rows import DaemonRow, RowTable, is_store_watcher
+from egretworks.settingsreload import ReloadableSettings
 from egretworks.storesync import CONFIG_NAME, ConfigWatch, PeerDiscovery, Store, Stored
 from egretworks.streams import Listener, Stream, call_later
 from egretworks.timeline import Timeline
@@ -46,8 +45,6 @@
 LOGGED_LOOP_DELAY_MS = 250.0
 # Interval at which connections of the HTTP ports are checked for timeouts.
 SWEEP_MS = 500
-# The settings file is polled because it may change without a SIGHUP.
-SETTINGS_POLL_MS = 1_000
 # Readiness checks run every second, and two failures take a daemon out of rotation; this is
 # slightly longer.
 OUT_OF_ROTATION_MS = 2_200
@@ -61,8 +58,6 @@
 # Fraction of the memory limit that the bodies of arriving answers may occupy.
 ANSWER_MEMORY_FRACTION = 0.25
 
-log = logging.getLogger(__name__)
-
 ConnectStore = Callable[[str], Store]
 
 
@@ -77,8 +72,6 @@
         connect_store: ConnectStore,
         log_handler: logs.BoundedHandler,
     ) -> None:
-        self._path = path
-        self._settings = settings
         self._edge = edge
         self._connect_store = connect_store
         self._clock = SystemClock()
@@ -88,6 +81,7 @@
         self._stopped = eventlet.event.Event()
         instance = settings.instance
         self._timeline = Timeline(InstanceId(instance.id), self._clock)
+        self._reloadable = ReloadableSettings(path, settings, self._timeline)
         own_row = DaemonRow(
             InstanceId(instance.id),
             DataCentre(instance.data_centre),
@@ -145,14 +139,18 @@
         )
         self._open_ports()
 
+    @property
+    def _settings(self) -> SidecarSettings:
+        return self._reloadable.current
+
     def run(self) -> None:
         """Start all components and block until the daemon has stopped."""
         self._timeline.record("started", detail=f"service={self._settings.instance.service}")
         signal.signal(signal.SIGTERM, lambda *_: call_later(0, self.stop))
-        signal.signal(signal.SIGHUP, lambda *_: call_later(0, self._reload))
+        signal.signal(signal.SIGHUP, lambda *_: call_later(0, self._reloadable.reload))
         self._schedule_tick()
         call_later(SWEEP_MS, self._sweep)
-        eventlet.spawn_n(self._poll_settings)
+        eventlet.spawn_n(self._reloadable.poll)
         eventlet.spawn_n(self._run_store_clients)
         self._stopped.wait()
 
@@ -351,36 +349,6 @@
                         self._config.send_config(link)
                 return
 
-    def _poll_settings(self) -> None:
-        """Reload the settings whenever the modification time of their file changes."""
-        loaded_mtime_ns = self._path.stat().st_mtime_ns
-        while True:
-            eventlet.sleep(seconds(SETTINGS_POLL_MS))
-            mtime_ns = self._path.stat().st_mtime_ns
-            if mtime_ns != loaded_mtime_ns:
-                loaded_mtime_ns = mtime_ns
-                self._reload()
-
-    def _reload(self) -> None:
-        """Apply changed settings; unreadable or invalid ones leave the old ones in force."""
-        try:
-            settings = read_sidecar_settings(self._path)
-        except SettingsError as error:
-            self._timeline.record("settings_refused", detail=error.message)
-            return
-        if settings == self._settings:
-            return
-        changed = needs_restart(self._settings, settings)
-        if changed:
-            self._timeline.record("settings_need_restart", detail=", ".join(changed))
-        self._settings = settings
-        logging.getLogger().setLevel(settings.log.level.upper())
-        self._timeline.record(
-            "settings_reloaded",
-            detail=f"service={settings.instance.service}",
-            facts={"bounds": msgspec.to_builtins(settings.bounds), "log": settings.log.level},
-        )
-
     def _drain(self) -> None:
         """Leave the rotation, wait for in-flight requests until the grace period ends, and stop."""
         drain_deadline = self._clock.now() + self._settings.bounds.grace_ms - MIN_GRACE_LEFT_MS
@@ -405,20 +373,6 @@
         return bool(self._forwarder.in_flight or self._gate.running or self._call_port.busy)
 
 
-def needs_restart(before: SidecarSettings, after: SidecarSettings) -> list[str]:
-    """Return the names of the changed settings that take effect only after a restart."""
-    names = []
-    # `service` is the only setting of the instance that can change at run time.
-    instance = msgspec.structs.replace(after.instance, service=before.instance.service)
-    if instance != before.instance:
-        names.append("instance")
-    if after.listen != before.listen:
-        names.append("listen")
-    if after.platform != before.platform:
-        names.append("platform")
-    return names
-
-
 def run_sidecar(path: Path, edge: Edge, connect_store: ConnectStore) -> None:
     """Run the daemon with the settings file at `path` until SIGTERM.
 
