--- a/egretworks/settingsreload.py
+++ b/egretworks/settingsreload.py
@@ -67,4 +67,6 @@
         names.append("listen")
     if after.platform != before.platform:
         names.append("platform")
+    if after.bounds.memory_mb != before.bounds.memory_mb:
+        names.append("bounds.memory_mb")
     return names
