Do not count the transfer of an offer's own body as queueing

What callers would see: requests with bodies of 350 KB and more refused by every target behind a link of 7 Mbit/s, since the bound of 400 ms on an offer's way took the transfer for waiting. The test failed before. Fix: the bound grows by what the body takes on the slowest link; the time is still taken off what the caller has left.

--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -44,6 +44,8 @@
 # An offer that was queued on its way for longer is refused: its caller may have left meanwhile, and
 # the cancel is queued behind it. The caller's daemon knows, and offers it elsewhere if not.
 MAX_TRANSIT_MS = 400.0
+# The slowest link of an instance, 7 Mbit/s: the time that an offer's own body takes there is added.
+SLOWEST_LINK_BYTES_PER_MS = 875
 
 # Identifies the peer until its `Hello` has arrived.
 UNKNOWN_PEER = PeerIncarnation(InstanceId(""), 0)
@@ -153,7 +155,10 @@
             self._host.config.apply_delta(frame, self, self.peer)
 
     def _queued_ms(self, frame: Hello | Offer | Ping) -> float:
-        """Return how long `frame` was queued on its way; 0 if an older build sent it."""
+        """Return how long `frame` was queued on its way; 0 if an older build sent it.
+
+        Each frame that is compared keeps the estimate of the shortest transit up to date.
+        """
         if frame.sent_at is None:
             return 0.0
         return self._transit.queued_ms(Millis(frame.sent_at), self._host.clock.since_boot())
@@ -179,7 +184,8 @@
             left_ms=offer.left_ms - queued_ms,
             objective_left_ms=offer.objective_left_ms - queued_ms,
         )
-        if queued_ms > MAX_TRANSIT_MS or offer.left_ms <= 0:
+        allowed_ms = MAX_TRANSIT_MS + len(offer.body) / SLOWEST_LINK_BYTES_PER_MS
+        if queued_ms > allowed_ms or offer.left_ms <= 0:
             self.send_frame(self._host.gate.refusal(offer, RefusalReason.EXPIRED, 0.0))
             return
         self._offer_to_gate(offer)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -153,6 +153,14 @@
     assert [outcome.reason for outcome in daemons.outcomes] == [RefusalReason.EXPIRED]
 
 
+# Guards against large requests that are refused by every target behind a slow link.
+def test_the_transfer_of_an_offers_own_body_does_not_count_as_queueing(daemons):
+    daemons.offer(left_ms=30_000.0, body=bytes(1_000_000))
+    daemons.clock.at += 1_200
+    daemons.pipe.deliver()
+    assert len(daemons.gate.offers) == 1
+
+
 # Guards against GONE: a target worked on after the deadline, which had been set from the arrival.
 def test_the_time_that_an_offer_was_queued_on_its_way_is_taken_off_its_time_left(daemons):
     daemons.offer(left_ms=1_000.0)
