--- a/egretworks/dispatch.py
+++ b/egretworks/dispatch.py
@@ -64,6 +64,7 @@
         self.route = route
         self.context = context
         self.tried: frozenset[TargetId] = frozenset()
+        self.attempts = 0
 
 
 class Dispatcher:
@@ -188,6 +189,7 @@
         pool = self._pool(ServiceName(call.route.service))
         slot = self._acquire(pool, call)
         call.tried |= {TargetId(slot.target.row.id)}
+        call.attempts += 1
         started = self._board.clock.now()
         try:
             response = self._exchange(slot, call)
@@ -212,14 +214,20 @@
             call.request.header(b"host") or row.service,
             context_headers(call.context, now),
         )
-        response = self._upstream.exchange(
+        # A further attempt has the same call id as the first, so that an answer to that one, sent
+        # again, could not be told from its own.
+        answer = self._upstream.exchange(
             (row.host, row.port),
             call.request.method,
             data,
             call.context.deadline,
-            new_connection=call.route.repeat is Repeat.ONCE,
+            call.context.id,
+            new_connection=call.route.repeat is Repeat.ONCE or call.attempts > 1,
         )
+        response = answer.response
         if response.status == 503 and response.header(NOT_RUN_HEADER) == "true":
+            if not answer.certain:
+                raise OutcomeUnknown(f"target {row.id} sent a refusal that may be an earlier one")
             raise TargetRefused(f"target {row.id} refused the request without running it")
         return response
 
--- a/egretworks/upstream.py
+++ b/egretworks/upstream.py
@@ -7,17 +7,28 @@
 from collections import deque
 
 import eventlet
+import msgspec
 from eventlet.green import socket as green_socket
 
 from egretworks.clock import Clock, Millis, seconds
+from egretworks.deadlines import CALL_HEADER
 from egretworks.exceptions import AttemptTimeout, ConnectFailed, DeadlineExceeded, OutcomeUnknown
 from egretworks.httpwire import RECEIVE_BYTES, Response, ResponseReader
-from egretworks.types import Address
+from egretworks.types import Address, CallId
 
 # Connections that have been idle for longer are closed.
 MAX_IDLE_MS = 10_000
 
 
+class TargetAnswer(msgspec.Struct, frozen=True):
+    """Hold a complete answer, and whether it is certain to be the one to the request."""
+
+    response: Response
+    # False if it does not name the call and its connection has carried another answer before,
+    # which a faulty target may have sent once more.
+    certain: bool
+
+
 class _IdleConnection:
     """Hold a connection that may be reused and since when it has been idle."""
 
@@ -43,21 +54,23 @@
         method: str,
         data: bytes,
         deadline: Millis,
+        call_id: CallId,
         *,
         new_connection: bool = False,
-    ) -> Response:
-        """Send `data` and return the answer once it is complete.
+    ) -> TargetAnswer:
+        """Send `data` and return the answer once it is complete; skip those to other calls.
 
         Raises `ConnectFailed` or `DeadlineExceeded` if nothing has been sent, and after that
         `OutcomeUnknown`, which at the deadline is an `AttemptTimeout`. With `new_connection` no
         idle connection is used, since the target may have closed it meanwhile.
         """
         sock = None if new_connection else self._take_idle(address)
-        if sock is None:
+        is_new = sock is None
+        if is_new:
             sock = self._connect(address, deadline)
         reusable = False
         try:
-            response = self._send_and_receive(sock, method, data, deadline)
+            response = self._send_and_receive(sock, method, data, deadline, call_id)
             reusable = response.keep_alive
         finally:
             # After a failed exchange the late answer may still arrive on the connection, where it
@@ -66,7 +79,7 @@
                 self._put_idle(address, sock)
             else:
                 sock.close()
-        return response
+        return TargetAnswer(response, is_new or _call_of(response) == call_id)
 
     def close_idle(self) -> None:
         """Close the connections that have been idle for longer than `MAX_IDLE_MS`."""
@@ -95,9 +108,18 @@
         return sock
 
     def _send_and_receive(
-        self, sock: socket.socket, method: str, data: bytes, deadline: Millis
+        self,
+        sock: socket.socket,
+        method: str,
+        data: bytes,
+        deadline: Millis,
+        call_id: CallId,
     ) -> Response:
-        reader = ResponseReader(method, self._max_body_bytes)
+        reader = ResponseReader(
+            method,
+            self._max_body_bytes,
+            lambda response: _call_of(response) in ("", call_id),
+        )
         timeout = eventlet.Timeout(seconds(deadline - self._clock.now()))
         try:
             sock.sendall(data)
@@ -132,6 +154,11 @@
         idle.append(_IdleConnection(sock, self._clock.now()))
 
 
+def _call_of(response: Response) -> str:
+    """Return the id of the call that the answer names, or an empty string."""
+    return response.header(CALL_HEADER)
+
+
 _poll = eventlet.patcher.original("select").poll
 
 
--- a/examples/standins/target.py
+++ b/examples/standins/target.py
@@ -61,9 +61,8 @@
             return self.admin(environ, start_response, path.removeprefix("/admin/"))
         if self.busy >= self.options.slots or self.leaving or self.behaviour["refuse"]:
             self.shed += 1
-            return reply(
-                start_response, "503 Service Unavailable", b"shed", [("Egret-Not-Run", "true")]
-            )
+            headers = [("Egret-Not-Run", "true"), *call_id_headers(environ)]
+            return reply(start_response, "503 Service Unavailable", b"shed", headers)
         self.busy += 1
         self.record_load()
         try:
@@ -98,7 +97,8 @@
             "depth": environ.get("HTTP_EGRET_DEPTH"),
             "deadline_ms": environ.get("HTTP_EGRET_DEADLINE_MS"),
         }
-        return reply(start_response, "200 OK", json.dumps(answer).encode())
+        body = json.dumps(answer).encode()
+        return reply(start_response, "200 OK", body, call_id_headers(environ))
 
     def call_downstream(self, environ):
         """Call another service through the daemon beside this target.
@@ -165,6 +165,12 @@
         return reply(start_response, "200 OK", json.dumps(pages.get(page, counts)).encode())
 
 
+def call_id_headers(environ):
+    """Return the header that names the call which an answer belongs to, if the request had one."""
+    id = environ.get("HTTP_EGRET_CALL_ID")
+    return [("Egret-Call-Id", id)] if id else []
+
+
 def reply(start_response, status, body, headers=()):
     """Answer a WSGI request."""
     start_response(status, [("Content-Length", str(len(body))), *headers])
--- a/tests/test_targetconnections.py
+++ b/tests/test_targetconnections.py
@@ -16,6 +16,7 @@
 from egretworks.types import Endpoint
 
 BODY_BUDGET = 2_000_000
+STATUS = b"HTTP/1.1 200 OK\r\nX-Id: a1\r\n"
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -193,6 +194,106 @@
     assert (outcomes[0].body, server.accepted) == (b"one", 2)
 
 
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Egret-Not-Run: 1\r\nX-Id: z9\r\n"
+    b"Content-Length: 4\r\n\r\nfull"
+)
+OWN = ok_response(b"own")
+# What the target writes after the next request has arrived, with pauses of 30 ms between the parts.
+REPEATED_REFUSALS = {
+    "in one segment with the answer": [REFUSAL + OWN],
+    "before the answer": [REFUSAL, OWN],
+    "split in its head": [REFUSAL[:20], REFUSAL[20:] + OWN],
+    "split in its body": [REFUSAL[:-2], REFUSAL[-2:], OWN],
+    "split together with the answer": [REFUSAL[:-2], REFUSAL[-2:] + OWN[:30], OWN[30:]],
+    "twice": [REFUSAL, REFUSAL, OWN],
+}
+
+
+# Guards against REFUSED and TWICE: a target wrote an earlier refusal once more, on a kept
+# connection, and a request that it ran was taken for refused.
+@pytest.mark.parametrize("timing", REPEATED_REFUSALS)
+def test_an_earlier_refusal_again_is_not_taken_for_the_answer_to_the_next_request(timing):
+    def handler(sock):
+        read_request(sock)
+        sock.sendall(REFUSAL)
+        read_request(sock)
+        for part in REPEATED_REFUSALS[timing]:
+            sock.sendall(part)
+            time.sleep(0.03)
+        sock.recv(1)
+
+    server = RawServer(handler)
+    connections = connect_to(server)
+    refused, _ = send(connections, id="z9")
+    run_hub(lambda: refused)
+    outcomes, _ = send(connections)
+    run_hub(lambda: outcomes)
+    assert (server.accepted, outcomes[0].body) == (1, b"own")
+    # What else the target may send on that connection is nobody's answer.
+    assert not outcomes[0].keep_alive
+
+
+def test_an_earlier_refusal_again_after_a_pause_is_nobodys_answer():
+    def handler(sock):
+        read_request(sock)
+        sock.sendall(REFUSAL)
+        time.sleep(0.1)
+        sock.sendall(REFUSAL)
+        sock.recv(1)
+
+    server = RawServer(handler)
+    connections = connect_to(server)
+    refused, _ = send(connections, id="z9")
+    run_hub(lambda: refused)
+    run_hub_for(200)
+    assert connections._idle == []
+
+
+STOPPED_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nX-Egret-Stamp: s\r\nContent-Length: 5\r\n\r\n"
+
+
+# Guards against MIXED and ORDER: a target stopped in its answer's head and closed, and the caller
+# got a 200 with an empty body.
+@pytest.mark.parametrize("end", ["closes", "resets"])
+def test_an_answer_that_stops_anywhere_in_its_head_is_broken(end):
+    lengths = iter(range(1, len(STOPPED_HEAD) + 1))
+
+    def handler(sock):
+        read_request(sock)
+        sock.sendall(STOPPED_HEAD[: next(lengths)])
+        if end == "resets":
+            reset(sock)
+
+    connections = connect_to(RawServer(handler))
+    for _ in range(len(STOPPED_HEAD)):
+        outcomes, _ = send(connections)
+        run_hub(lambda got=outcomes: got)
+        assert outcomes == [ExchangeFailure.BROKEN]
+
+
+BODIES = {
+    "with a length": b"Content-Length: 10\r\n\r\n0123456789",
+    "in chunks": b"Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", BODIES)
+def test_an_answer_that_stops_anywhere_in_its_body_is_broken(kind):
+    whole = STATUS + BODIES[kind]
+    lengths = iter(range(whole.index(b"\r\n\r\n"), len(whole)))
+
+    def handler(sock):
+        read_request(sock)
+        sock.sendall(whole[: next(lengths)])
+
+    connections = connect_to(RawServer(handler))
+    for _ in range(len(whole) - whole.index(b"\r\n\r\n")):
+        outcomes, _ = send(connections)
+        run_hub(lambda got=outcomes: got)
+        assert outcomes == [ExchangeFailure.BROKEN]
+
+
 def test_a_connection_is_not_used_near_its_stated_idle_timeout():
     server = RawServer(
         answering(ok_response(b"one", b"Keep-Alive: timeout=1"), ok_response(b"two"))
@@ -238,7 +339,6 @@
     return handler
 
 
-STATUS = b"HTTP/1.1 200 OK\r\nX-Id: a1\r\n"
 ENDLESS = {
     "body without a length": (STATUS + b"\r\n", b"x"),
     "body in chunks": (STATUS + b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\nabcd\r\n"),
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -84,6 +84,43 @@
         assert (status, body) == (200, f"/ledger/{number}".encode())
 
 
+def call_id_of(request):
+    lines = request.split(b"\r\n")
+    return next(line for line in lines if line.lower().startswith(b"egret-call-id:"))
+
+
+# Guards against an earlier answer that a target sends again, late, on a connection in use again.
+def test_a_second_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_call(scripted):
+    earlier = []
+
+    def answer(request):
+        own = ok_response(path_of(request).encode(), call_id_of(request))
+        earlier.append(own)
+        return own if len(earlier) == 1 else earlier[-2] + own
+
+    daemon, _ = scripted(answer)
+    for number in range(10):
+        status, _, body = daemon.call(f"/ledger/{number}")
+        assert (status, body) == (200, f"/ledger/{number}".encode())
+
+
+# Guards against "not run" for a request that its target runs: an earlier refusal came once more.
+def test_a_refusal_on_a_kept_connection_that_may_be_an_earlier_one_does_not_mean_not_run(scripted):
+    ran = []
+
+    def answer(request):
+        if path_of(request) == "/ledger/first":
+            return ok_response(b"first")
+        ran.append(request)
+        return NOT_RUN + ok_response(b"own")
+
+    daemon, _ = scripted(answer)
+    assert daemon.call("/ledger/first")[0] == 200
+    status, headers, _ = daemon.call("/ledger/second")
+    assert ran
+    assert (status, headers.get("Egret-Not-Run")) == (502, None)
+
+
 def test_an_interim_response_is_skipped(scripted):
     daemon, _ = scripted(
         lambda request: b"HTTP/1.1 100 Continue\r\n\r\n" + ok_response(b"the answer")
