--- a/egretworks/clock.py
+++ b/egretworks/clock.py
@@ -14,30 +14,31 @@
     """Interface of a clock, passed to code whose decisions depend on the time."""
 
     def now(self) -> Millis:
-        """Return monotonic milliseconds, for durations and deadlines."""
+        """Return milliseconds since boot, for durations and deadlines; they never decrease."""
 
     def wall(self) -> Millis:
         """Return milliseconds since the Unix epoch, for timestamps in records."""
 
-    def since_boot(self) -> Millis:
-        """Return milliseconds since boot, with the time for which the machine was suspended."""
+
+def seconds_since_boot() -> float:
+    """Return the seconds since boot, with the time for which the machine was suspended.
+
+    `time.monotonic` leaves that time out, so that what has expired meanwhile would still hold.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class SystemClock:
     """Clock of the operating system."""
 
     def now(self) -> Millis:
-        """Return monotonic milliseconds, for durations and deadlines."""
-        return Millis(time.monotonic() * MILLIS_PER_SECOND)
+        """Return milliseconds since boot, for durations and deadlines; they never decrease."""
+        return Millis(seconds_since_boot() * MILLIS_PER_SECOND)
 
     def wall(self) -> Millis:
         """Return milliseconds since the Unix epoch, for timestamps in records."""
         return Millis(time.time() * MILLIS_PER_SECOND)
 
-    def since_boot(self) -> Millis:
-        """Return milliseconds since boot, with the time for which the machine was suspended."""
-        return Millis(time.clock_gettime(time.CLOCK_BOOTTIME) * MILLIS_PER_SECOND)
-
 
 def seconds(duration: Millis | float) -> float:
     """Convert a duration in milliseconds to seconds; a negative one gives zero."""
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -167,7 +167,7 @@
         """
         if frame.sent_at is None:
             return 0.0
-        return self._transit.queued_ms(Millis(frame.sent_at), self._host.clock.since_boot())
+        return self._transit.queued_ms(Millis(frame.sent_at), self._host.clock.now())
 
     def _record_transit(self, offer: Offer, queued_ms: float) -> None:
         self._host.metrics.observe("link_queued", queued_ms)
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -68,7 +68,7 @@
     config_version: int
     # The row of the peer as the sender knows it; all known rows if the peer is of an older build.
     rows: list[DaemonRow]
-    # When the frame was sent, by the sender's clock since boot; None from an older build.
+    # When the frame was sent, by the sender's clock; None from an older build.
     sent_at: float | None = None
     # The `LINK_PROTOCOL` of the sender.
     protocol: int = 1
@@ -99,7 +99,7 @@
     # 0 is the highest priority.
     priority: int
     idempotent: bool
-    # When the frame was sent, by the sender's clock since boot; None from an older build.
+    # When the frame was sent, by the sender's clock; None from an older build.
     sent_at: float | None = None
 
 
@@ -143,7 +143,7 @@
     """Check that the peer is alive."""
 
     config_version: int
-    # When the frame was sent, by the sender's clock since boot; None from an older build.
+    # When the frame was sent, by the sender's clock; None from an older build.
     sent_at: float | None = None
     # Digest of the daemons that the sender knows; 0 from an older build.
     members: int = 0
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -62,7 +62,7 @@
             self.rows.own,
             self.config.version,
             rows,
-            self.clock.since_boot(),
+            self.clock.now(),
             LINK_PROTOCOL,
             self.rows.members,
             self.rows.digest,
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -138,7 +138,7 @@
         self._serial += 1
         serial = self._serial
         self._in_flight_by_serial[serial] = _Request(reply, offer.idempotent)
-        sent_at = self._host.clock.since_boot()
+        sent_at = self._host.clock.now()
         self._send(msgspec.structs.replace(offer, serial=serial, sent_at=sent_at))
 
         def cancel() -> None:
@@ -184,7 +184,7 @@
         elif self._ready and self._needs_ping(now):
             self._awaiting_since = self._last_ping_at = now
             host = self._host
-            sent_at, rows = host.clock.since_boot(), host.rows
+            sent_at, rows = host.clock.now(), host.rows
             self._send(Ping(host.config.version, sent_at, rows.members, rows.digest))
 
     def _needs_ping(self, now: Millis) -> bool:
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -34,7 +34,7 @@
 from egretworks.rows import DaemonRow, RowTable, is_store_watcher
 from egretworks.settingsreload import ReloadableSettings
 from egretworks.storesync import CONFIG_NAME, ConfigWatch, PeerDiscovery, Store, Stored
-from egretworks.streams import Listener, Stream, call_later
+from egretworks.streams import Listener, Stream, call_later, use_time_since_boot
 from egretworks.timeline import Timeline
 from egretworks.types import DataCentre, Endpoint, InstanceId, ServiceName, parse_endpoint
 
@@ -341,5 +341,6 @@
     Raises `SettingsError` if the file is unreadable or invalid, or a port cannot be opened.
     """
     settings = read_sidecar_settings(path)
+    use_time_since_boot()
     log_handler = logs.set_up(settings.instance.id, settings.log.level)
     Sidecar(path, settings, edge, connect_store, log_handler).run()
--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -11,7 +11,7 @@
 import eventlet
 from eventlet import hubs
 
-from egretworks.clock import Millis, seconds
+from egretworks.clock import Millis, seconds, seconds_since_boot
 from egretworks.types import Endpoint
 
 # The unpatched module: green sockets may switch threads, which a callback of the hub must not do.
@@ -51,6 +51,14 @@
     return hubs.get_hub().schedule_call_global(seconds(Millis(delay_ms)), call, *arguments)
 
 
+def use_time_since_boot() -> None:
+    """Let the hub count the time for which the machine was suspended.
+
+    Called before anything is scheduled. Timers that became due meanwhile then run at once.
+    """
+    hubs.get_hub().clock = seconds_since_boot
+
+
 def _ignore(*_: object) -> None:
     """Ignore the hub's notices of closed descriptors; streams close their own."""
 
--- a/tests/linkpipes.py
+++ b/tests/linkpipes.py
@@ -23,9 +23,6 @@
     def now(self):
         return Millis(self.at)
 
-    def since_boot(self):
-        return Millis(self.at)
-
 
 class FakeTimeline:
     def record(self, kind, **facts):
