--- a/egretworks/types.py
+++ b/egretworks/types.py
@@ -49,6 +49,12 @@
     return Endpoint(host, int(port))
 
 
+# An integer that fits into the frames between daemons. JSON has no bound of its own, and one that
+# doesn't fit would fail wherever it is passed on.
+MAX_INT64 = 2**63 - 1
+Int64 = Annotated[int, Meta(ge=-MAX_INT64 - 1, le=MAX_INT64)]
+PositiveInt64 = Annotated[int, Meta(ge=1, le=MAX_INT64)]
+
 # The version of a mesh in which no ticket has been accepted yet.
 NO_VERSION = Version(0)
 
--- /dev/null
+++ b/tests/test_malformed_input.py
@@ -0,0 +1,205 @@
+"""Test that malformed input at any door of the daemon harms only the message that brought it."""
+
+import contextlib
+import json
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from linkpipes import Daemons, FakeTimeline, Pipe, make_host
+from mutations import mutated_bytes, mutated_json
+from platformwire import config_document, edge, heartbeat_body
+
+from egretworks.config import read_sidecar_settings
+from egretworks.configholder import ConfigHolder
+from egretworks.exceptions import BadRequest, ConfigInvalid, SettingsError
+from egretworks.httpwire import RequestReader
+from egretworks.inboundlinks import InboundLink
+from egretworks.linkframes import (
+    Answered,
+    Cancel,
+    ConfigCopy,
+    ConfigDelta,
+    ConfigRequest,
+    GateReport,
+    Offer,
+    OutcomeQuery,
+    Ping,
+    Pong,
+    RefusalReason,
+    Refused,
+    Rows,
+    RowsRequest,
+    encode_frame,
+)
+from egretworks.rows import DaemonRow, TargetRow
+
+CASES = 2_000
+thorough = settings(
+    max_examples=CASES,
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+REQUEST = (
+    b"POST /give/x?y=1 HTTP/1.1\r\nHost: pool.example\r\nX-Egret-Attempt-Id: a1\r\n"
+    b"X-Egret-Deadline-Ms: 2000\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\ngift"
+)
+CHUNKED = (
+    b"PUT /give/x HTTP/1.1\r\nHost: pool.example\r\nX-Egret-Attempt-Id: a2\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n4\r\ngift\r\n0\r\n\r\n"
+)
+REPORT = GateReport(slots=4, load=0, work_ms=10.0)
+ROW = DaemonRow(
+    "d9", "dc", "127.0.0.9", 7_600, 1, 1, target=TargetRow("i-9", 1_000, "ledger", 4, True)
+)
+OFFER = Offer(
+    *(1, "c1", "give", "ledger", "portal", "POST", b"/give/x", [(b"host", b"x")], b"gift"),
+    left_ms=900.0,
+    objective_left_ms=300.0,
+    priority=0,
+    idempotent=False,
+    sent_at=1_000.0,
+)
+FRAMES = (
+    OFFER,
+    Answered(1, 200, [(b"X-Egret-Stamp", b"s")], b"done", REPORT),
+    Refused(1, RefusalReason.BUSY, 20.0, False, REPORT),
+    Cancel(1),
+    Ping(1, 1_000.0, 1, 1),
+    Pong(1, REPORT, 1, 1),
+    Rows([ROW]),
+    RowsRequest([1] * 16),
+    ConfigRequest(1),
+    ConfigCopy(2, config_document(2)),
+    ConfigDelta(2, 1, 1, b"x"),
+    OutcomeQuery([1, 2]),
+)
+
+
+def read_all(reader):
+    while (request := reader.next_request()) is not None:
+        yield request
+
+
+class ConfiguredDaemons(Daemons):
+    """Two linked daemons that decode the configurations that they get."""
+
+    def make_host(self, id):
+        config = ConfigHolder(edge().decode_config, FakeTimeline(), lambda: None)
+        config.apply(config_document(1), "test")
+        return make_host(id, self.clock, self.gate, config)
+
+
+@thorough
+@given(
+    mutated_json(heartbeat_body("127.0.0.1:8080")) | mutated_bytes(heartbeat_body("127.0.0.1:80"))
+)
+def test_a_malformed_heartbeat_is_refused_or_can_be_passed_on(body):
+    request = (
+        b"POST /rpc?call=instances.heartbeat&of=i-1 HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(body)
+    ) + body
+    reader = RequestReader(10_000)
+    reader.feed(request)
+    try:
+        heartbeat = edge().read_announcement(reader.next_request())
+    except BadRequest:
+        return
+    # What is accepted is spread to the other daemons.
+    target = TargetRow(heartbeat.id, heartbeat.born, heartbeat.service, heartbeat.slots, True)
+    encode_frame(Rows([msgspec.structs.replace(ROW, target=target)]))
+    assert heartbeat.slots >= 1
+
+
+@thorough
+@given(mutated_json(config_document(3)) | mutated_bytes(config_document(3)))
+def test_a_malformed_configuration_is_refused_or_can_be_used(document):
+    try:
+        config = edge().decode_config(document)
+    except ConfigInvalid:
+        return
+    for route in config.routes:
+        assert route.timeout_ms > 0
+        encode_frame(msgspec.structs.replace(OFFER, priority=route.priority, route=route.name))
+    encode_frame(Ping(config.version))
+
+
+@thorough
+@given(mutated_bytes([encode_frame(frame) for frame in FRAMES]), st.booleans())
+def test_a_malformed_frame_closes_only_its_link(data, to_serving_end):
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        daemons = ConfiguredDaemons(monkeypatch)
+        end = daemons.pipe.ends[1 if to_serving_end else 0]
+        end.user.on_data(data)
+        if end.closed:
+            daemons.pipe.break_at(0 if to_serving_end else 1)
+        # Another daemon is served as before.
+        pipe = Pipe()
+        InboundLink(daemons.serving, pipe.ends[1])
+        daemons.reconnect()
+        daemons.offer()
+        daemons.pipe.deliver()
+        assert daemons.gate.offers
+
+
+SETTINGS_TEXT = b"""
+[instance]
+id = "n0"
+data_centre = "dc"
+host = "127.0.0.1"
+service = "portal"
+[listen]
+calls = "127.0.0.1:7001"
+ready = "127.0.0.1:7002"
+announcements = "127.0.0.1:7003"
+link_port = 7004
+metrics_port = 7005
+[platform]
+address = "127.0.0.1:7006"
+[bounds]
+memory_mb = 100
+drain_ms = 2000
+grace_ms = 6000
+retry_ratio = 0.2
+retry_window_ms = 10000
+retry_slack = 60
+"""
+
+
+@thorough
+@given(mutated_bytes(SETTINGS_TEXT))
+def test_malformed_settings_are_refused_with_a_reason(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_bytes(text)
+    try:
+        read_sidecar_settings(path)
+    except SettingsError as error:
+        assert error.message
+
+
+STORE_PAGE = json.dumps(
+    {
+        "atRev": 7,
+        "items": [{"metadata": {"name": "main", "rev": 6}, "spec": {"version": "00000001"}}],
+        "events": [{"object": {"metadata": {"name": "main", "rev": 6}}, "deleted": False}],
+        "hasMore": False,
+    }
+).encode()
+
+
+@thorough
+@given(mutated_json(STORE_PAGE) | mutated_bytes(STORE_PAGE))
+def test_a_malformed_answer_of_the_store_counts_as_a_failure_of_the_store(document):
+    from objectstore import PlatformStore
+
+    from egretworks.exceptions import PlatformUnavailable
+    from egretworks.types import Endpoint
+
+    store = PlatformStore(Endpoint("127.0.0.1", 1))
+    store._call = lambda *arguments: document
+    for read in (lambda: store.watch("config", 1, 0), lambda: store.read("config", "main")):
+        with contextlib.suppress(PlatformUnavailable):
+            read()
