--- a/egretworks/rows.py
+++ b/egretworks/rows.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 import xxhash
+from msgspec import Meta
 
-from egretworks.types import DataCentre, Endpoint, InstanceId, ServiceName, TargetId
+from egretworks.types import DataCentre, Endpoint, InstanceId, Int64, ServiceName, TargetId
+
+# A host name is no address: to look it up would block the event loop.
+IPV4_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}$"
+# Leaves room for the incarnations that later runs add, within the 64 bits of a frame.
+MAX_INCARNATION = 2**62
 
 
 class TargetRow(msgspec.Struct, frozen=True, array_like=True):
@@ -15,9 +22,9 @@
 
     id: TargetId
     # Wall-clock milliseconds of the target's start, which distinguish its incarnations.
-    born: int
+    born: Int64
     service: ServiceName
-    slots: int
+    slots: Int64
     # True if the target accepts new requests.
     serving: bool
     # True once the target has announced, or stated in an answer, that it leaves.
@@ -33,13 +40,13 @@
 
     id: InstanceId
     data_centre: DataCentre
-    host: str
-    port: int
+    host: Annotated[str, Meta(pattern=IPV4_PATTERN)]
+    port: Annotated[int, Meta(ge=1, le=65_535)]
     # Wall-clock milliseconds of the daemon's start, or one more than the incarnation of an earlier
     # run if that was higher, because the clock was set back.
-    incarnation: int
+    incarnation: Annotated[int, Meta(ge=0, le=MAX_INCARNATION)]
     # Incremented with each change of the row within an incarnation.
-    serial: int
+    serial: Annotated[int, Meta(ge=0, le=MAX_INCARNATION)]
     # True while the daemon shuts down.
     leaving: bool = False
     # True if the daemon can reach the platform's store.
--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -196,7 +196,11 @@
         self._hub = hubs.get_hub()
         self._writer = None
         self._timer = call_later(timeout_ms, self._finish, None)
-        code = self._sock.connect_ex((endpoint.host, endpoint.port))
+        try:
+            code = self._sock.connect_ex((endpoint.host, endpoint.port))
+        except (OSError, OverflowError) as error:
+            log.warning("%s is no address to connect to: %s", endpoint, error)
+            code = errno.EINVAL
         if code not in (0, errno.EINPROGRESS):
             call_later(0, self._finish, None)
             return
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -34,6 +34,8 @@
     encode_frame,
 )
 from egretworks.rows import DaemonRow, TargetRow
+from egretworks.storesync import decode_row, encode_row
+from egretworks.streams import connect
 
 CASES = 2_000
 thorough = settings(
@@ -127,6 +129,17 @@
     encode_frame(Ping(config.version))
 
 
+@thorough
+@given(mutated_json(encode_row(ROW)) | mutated_bytes(encode_row(ROW)))
+def test_a_malformed_row_in_the_store_is_ignored_or_can_be_linked(document):
+    row = decode_row(document)
+    if row is None:
+        return
+    encode_frame(Rows([row]))
+    cancel = connect(row.endpoint, 100, lambda stream: None)
+    cancel()
+
+
 @thorough
 @given(mutated_bytes([encode_frame(frame) for frame in FRAMES]), st.booleans())
 def test_a_malformed_frame_closes_only_its_link(data, to_serving_end):
