--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -339,7 +339,7 @@
     """Encode `request` for a target; headers in `extra` replace those of the same name."""
     replaced = {name.lower() for name, _ in extra}
     lines = [request.method.encode("ascii") + b" " + request.url + b" HTTP/1.1"]
-    lines.append(b"Host: " + host.encode("ascii"))
+    lines.append(b"Host: " + host.encode("latin-1"))
     for name, value in request.headers:
         if name not in HOP_BY_HOP_HEADERS and name != b"host" and name not in replaced:
             lines.append(name + b": " + value)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -13,8 +13,8 @@
 
 from egretworks.config import read_sidecar_settings
 from egretworks.configholder import ConfigHolder
-from egretworks.exceptions import BadRequest, ConfigInvalid, SettingsError
-from egretworks.httpwire import RequestReader
+from egretworks.exceptions import BadRequest, CallError, ConfigInvalid, SettingsError
+from egretworks.httpwire import RequestReader, encode_request
 from egretworks.inboundlinks import InboundLink
 from egretworks.linkframes import (
     Answered,
@@ -95,6 +95,26 @@
         return make_host(id, self.clock, self.gate, config)
 
 
+# The call port, and the parts of it that the other HTTP ports share.
+@thorough
+@given(mutated_bytes([REQUEST, CHUNKED]), st.integers(1, 60))
+def test_a_malformed_request_is_rejected_or_forwarded_as_it_came(data, step):
+    reader, platform_edge = RequestReader(1_000, 2_000), edge()
+    try:
+        for start in range(0, len(data), step):
+            reader.feed(data[start : start + step])
+        for request in read_all(reader):
+            head = platform_edge.read_head(request)
+            assert head.left_ms is None or head.left_ms >= 0
+            forwarded = platform_edge.forwarded_headers(request)
+            offer = msgspec.structs.replace(OFFER, headers=forwarded, method=request.method)
+            encode_frame(offer)
+            host = request.header(b"host")
+            assert encode_request(request, host, []).count(b"\r\n\r\n") >= 1
+    except CallError:
+        pass
+
+
 @thorough
 @given(
     mutated_json(heartbeat_body("127.0.0.1:8080")) | mutated_bytes(heartbeat_body("127.0.0.1:80"))
