--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -6,6 +6,7 @@
 import logging
 import socket as socket_module
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import eventlet
@@ -48,7 +49,22 @@
 
 def call_later(delay_ms: float, call: Callable[..., None], *arguments: object) -> Timer:
     """Schedule `call` in the hub, `delay_ms` milliseconds from now."""
-    return hubs.get_hub().schedule_call_global(seconds(Millis(delay_ms)), call, *arguments)
+    hub = hubs.get_hub()
+    return hub.schedule_call_global(seconds(Millis(delay_ms)), _run_logged, call, *arguments)
+
+
+def _run_logged(call: Callable[..., None], *arguments: object) -> bool:
+    """Run a callback of the hub; log an unexpected error and return False if there is one.
+
+    The hub prints such an error and goes on, but drops the connection's listeners without closing
+    it.
+    """
+    try:
+        call(*arguments)
+    except Exception:
+        log.exception("unexpected error in %s", getattr(call, "__qualname__", call))
+        return False
+    return True
 
 
 def use_time_since_boot() -> None:
@@ -137,10 +153,10 @@
         except OSError:
             self._fail()
             return
-        if data:
-            self.user.on_data(data)
-        else:
+        if not data:
             self._end(clean=True)
+        elif not _run_logged(self.user.on_data, data):
+            self._end(clean=False)
 
     def _watch_writable(self) -> None:
         if self._writer is None and not self.closed:
@@ -173,7 +189,7 @@
         if self.closed:
             return
         self.close()
-        self.user.on_end(clean=clean)
+        _run_logged(partial(self.user.on_end, clean=clean))
 
 
 def connect(
@@ -229,9 +245,9 @@
         self._release()
         if sock is None:
             self._sock.close()
-            done(None)
+            _run_logged(done, None)
         else:
-            done(Stream(sock))
+            _run_logged(done, Stream(sock))
 
     def _release(self) -> None:
         self._timer.cancel()
@@ -275,4 +291,4 @@
                 # The connection was reset before accept, or the process is out of descriptors.
                 log.warning("accepting a connection failed: %s", error)
                 return
-            self._accept(Stream(sock))
+            _run_logged(self._accept, Stream(sock))
