--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
@@ -34,6 +35,8 @@
 # Pause after a change, so that versions that follow each other closely are applied as one batch.
 BATCH_MS = 60
 
+log = logging.getLogger(__name__)
+
 
 class Stored(msgspec.Struct, frozen=True):
     """Hold an object of the store: its revision and its content, byte for byte."""
@@ -120,8 +123,8 @@
             except WatchCompacted:
                 self._timeline.record("store_history_gone", detail=CONFIG_KIND)
                 self._revision = None
-            except PlatformError as error:
-                self._set_reachable(reachable=False, reason=error.message)
+            except Exception as error:
+                self._set_reachable(reachable=False, reason=_reason(error))
                 eventlet.sleep(seconds(pause_ms * (1 + self._random.random())))
                 pause_ms = min(MAX_RETRY_MS, pause_ms * 2)
 
@@ -173,8 +176,8 @@
                 missing = self._discover(allow_stale=allow_stale)
                 allow_stale = not missing
                 eventlet.sleep(seconds(RESYNC_MS * (0.5 + self._random.random())))
-            except PlatformError as error:
-                self._timeline.record("rows_unread", detail=error.message)
+            except Exception as error:
+                self._timeline.record("rows_unread", detail=_reason(error))
                 eventlet.sleep(seconds(RETRY_MS * (1 + 3 * self._random.random())))
 
     def _register(self) -> None:
@@ -208,6 +211,17 @@
         return all(row.id != self._own_row().id for row in rows)
 
 
+def _reason(error: Exception) -> str:
+    """Return why a call of the store failed, and log an error that is not one of the store.
+
+    Whatever it was, the daemon goes on calling the store.
+    """
+    if isinstance(error, PlatformError):
+        return error.message
+    log.error("unexpected error in a call of the store", exc_info=error)
+    return repr(error)
+
+
 def encode_row(row: DaemonRow) -> bytes:
     """Return `row` encoded as the document of a stored object."""
     return msgspec.json.encode({"row": row})
