--- a/egretworks/settingsreload.py
+++ b/egretworks/settingsreload.py
@@ -16,6 +16,8 @@
 # The settings file is polled because it may change without a SIGHUP.
 POLL_MS = 1_000
 
+log = logging.getLogger(__name__)
+
 
 class ReloadableSettings:
     """Hold the settings in force, `current`, as last read from the file at `path`."""
@@ -27,14 +29,22 @@
 
     def poll(self) -> None:
         """Reload the settings whenever the modification time of their file changes."""
-        loaded_mtime_ns = self._path.stat().st_mtime_ns
+        loaded_mtime_ns = self._mtime_ns()
         while True:
             eventlet.sleep(seconds(POLL_MS))
-            mtime_ns = self._path.stat().st_mtime_ns
-            if mtime_ns != loaded_mtime_ns:
+            mtime_ns = self._mtime_ns()
+            if mtime_ns is not None and mtime_ns != loaded_mtime_ns:
                 loaded_mtime_ns = mtime_ns
                 self.reload()
 
+    def _mtime_ns(self) -> int | None:
+        """Return when the file was modified, or None while it is being replaced."""
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError as error:
+            log.warning("cannot read the time of the settings file: %s", error)
+            return None
+
     def reload(self) -> None:
         """Apply changed settings; unreadable or invalid ones leave the old ones in force."""
         try:
