--- a/egretworks/httpport.py
+++ b/egretworks/httpport.py
@@ -20,6 +20,9 @@
 
 # How long a caller has to read the response to a request that was rejected before it was complete.
 LINGER_MS = 1_000
+# A caller that has connected, or has read an answer, may have sent a request that has not arrived
+# yet: while the port closes, an idle connection is kept for this long.
+LAST_REQUEST_MS = 300
 
 
 class HttpExchange:
@@ -59,14 +62,14 @@
         self.serve = serve
         self._connections: set[_Connection] = set()
         self._listener = Listener(endpoint, self._accept)
-        # While true, each response closes its connection.
+        # While true, the response to the last request received closes its connection.
         self.closing = False
         self.port = self._listener.port
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is in flight or arriving on any connection."""
-        return any(connection.busy for connection in self._connections)
+        """Return whether a request is in flight, arriving or expected, or an answer is not sent."""
+        return any(not connection.quiet for connection in list(self._connections))
 
     def sweep(self) -> None:
         """Close the connections that have exceeded a timeout."""
@@ -76,13 +79,14 @@
             connection.check_timeout(now, limits)
 
     def stop_listening(self) -> None:
-        """Close the listening socket."""
+        """Close the listening socket, once all established connections are accepted."""
         self._listener.close()
 
     def close_idle(self) -> None:
-        """Close the connections without a request in flight or arriving."""
+        """Close the connections on which no request is in flight, arriving or expected."""
         for connection in list(self._connections):
-            if not connection.busy:
+            connection.read_arrived()
+            if connection.quiet:
                 connection.close()
 
     def now(self) -> Millis:
@@ -113,9 +117,20 @@
         stream.start(self)
 
     @property
-    def busy(self) -> bool:
-        """Return whether a request is in flight or arriving."""
-        return self._exchange is not None or (self._reader.request_begun and not self._lingering)
+    def quiet(self) -> bool:
+        """Return whether the connection can be closed without cutting anything off."""
+        if self._stream.closed:
+            return True
+        if self._exchange is not None or self._stream.unsent_bytes:
+            return False
+        if self._lingering:
+            return True
+        idle_ms = self._port.now() - self._waiting_since
+        return not self._reader.request_begun and idle_ms >= LAST_REQUEST_MS
+
+    def read_arrived(self) -> None:
+        """Process the bytes that have arrived already."""
+        self._stream.read_arrived()
 
     def respond(self, exchange: HttpExchange, response: Response) -> None:
         """Send the response to the request in flight and start the next pipelined request."""
@@ -123,18 +138,24 @@
             return
         self._exchange = None
         self._release(len(exchange.request.body))
-        if self._port.closing:
+        if self._port.closing and not self._reader.has_more:
             response.keep_alive = False
         self._stream.write(encode_response(response, exchange.request))
         self._waiting_since = self._port.now()
         if not (exchange.request.keep_alive and response.keep_alive):
-            self._discard()
             self._stream.close_when_sent()
+            if self._stream.closed:
+                self._discard()
             return
         self._start_next()
 
     def check_timeout(self, now: Millis, limits: CallerLimits) -> None:
-        """Close the connection if its caller has exceeded the timeout that applies."""
+        """Close the connection if its caller has exceeded the timeout that applies.
+
+        A connection that was closed once all was sent is discarded.
+        """
+        if self._stream.closed:
+            self._discard()
         if self._exchange is not None:
             return
         if self._lingering:
--- a/egretworks/httpwire.py
+++ b/egretworks/httpwire.py
@@ -114,6 +114,11 @@
         """Return whether part of a request has arrived that is not complete yet."""
         return self._begun
 
+    @property
+    def has_more(self) -> bool:
+        """Return whether a further request has arrived, complete or in part."""
+        return self._begun or bool(self._complete_requests)
+
     def feed(self, data: bytes) -> None:
         """Parse `data`, or raise a `CallError` for a request that must be rejected."""
         raw_header_bytes = 0 if self._headers_complete else len(data)
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -324,6 +324,7 @@
         self._call_port.close_idle()
         while self._clock.now() < drain_deadline and self._busy():
             eventlet.sleep(seconds(DRAIN_POLL_MS))
+            self._call_port.close_idle()
         self._timeline.record(
             "stopped", detail=f"calls={self._forwarder.in_flight} runs={self._gate.running}"
         )
--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -125,6 +125,10 @@
             self._unsent += memoryview(data)[sent:]
             self._watch_writable()
 
+    def read_arrived(self) -> None:
+        """Process the bytes that have arrived already, before the hub reports them."""
+        self._on_readable(0)
+
     def close(self) -> None:
         """Close the stream at once and drop unsent bytes; `on_end` is not called."""
         if self.closed:
@@ -273,22 +277,29 @@
         )
 
     def close(self) -> None:
-        """Close the listening socket."""
-        if self._reader is not None:
-            self._hub.remove(self._reader)
-            self._reader = None
-            self._sock.close()
+        """Accept the connections that are established already, then close the listening socket."""
+        if self._reader is None:
+            return
+        while self._accept_next():
+            pass
+        self._hub.remove(self._reader)
+        self._reader = None
+        self._sock.close()
 
     def _on_readable(self, _fileno: int) -> None:
         for _ in range(MAX_ACCEPTS_PER_CALLBACK):
-            if self._reader is None:
+            if self._reader is None or not self._accept_next():
                 return
-            try:
-                sock, _address = self._sock.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                # The connection was reset before accept, or the process is out of descriptors.
-                log.warning("accepting a connection failed: %s", error)
-                return
-            _run_logged(self._accept, Stream(sock))
+
+    def _accept_next(self) -> bool:
+        """Accept one connection; return False if there is none."""
+        try:
+            sock, _address = self._sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            # The connection was reset before accept, or the process is out of descriptors.
+            log.warning("accepting a connection failed: %s", error)
+            return False
+        _run_logged(self._accept, Stream(sock))
+        return True
