--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -85,6 +85,11 @@
         """Return the id of the peer daemon, empty until its `Hello` has arrived."""
         return self._peer_incarnation.id
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of buffered bytes that the connection has not accepted yet."""
+        return self._stream.unsent_bytes
+
     def on_data(self, data: bytes) -> None:
         """Process bytes received from the peer."""
         try:
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -333,7 +333,10 @@
         self._stopped.send()
 
     def _busy(self) -> bool:
-        return bool(self._forwarder.in_flight or self._gate.running or self._call_port.busy)
+        if self._forwarder.in_flight or self._gate.running or self._call_port.busy:
+            return True
+        # The outcomes of other daemons' requests.
+        return any(inbound.unsent_bytes for inbound in self._link_host.inbound_links)
 
 
 def run_sidecar(path: Path, edge: Edge, connect_store: ConnectStore) -> None:
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -162,3 +162,20 @@
         answer = read_all(sock)
     assert len(answer) > LARGE_ANSWER_BYTES
     assert portal.wait() == 0
+
+
+# Guards against the same at the link to the daemon of the caller, which is held up meanwhile.
+def test_an_answer_on_a_full_link_reaches_the_callers_daemon(sidecars):
+    portal, ledger = large_answers(sidecars)
+    ledger.target.work_ms = 300
+    with send_request(portal) as sock:
+        wait_for(lambda: ledger.target.runs, "the request to run")
+        portal.signal(signal.SIGSTOP)
+        ledger.signal(signal.SIGTERM)
+        resume = threading.Timer(3.5, portal.signal, [signal.SIGCONT])
+        resume.start()
+        answer = bytearray(sock.recv(1_000_000))
+        while len(answer) < LARGE_ANSWER_BYTES and (data := sock.recv(1_000_000)):
+            answer += data
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert len(answer) > LARGE_ANSWER_BYTES
