--- a/egretworks/linkset.py
+++ b/egretworks/linkset.py
@@ -89,6 +89,11 @@
             if link.near:
                 self._host.config.send_config(link)
 
+    def excuse_silence(self, paused_ms: float) -> None:
+        """Do not count the time for which this daemon was paused as silence of its peers."""
+        for link in self.links_by_id.values():
+            link.excuse_silence(paused_ms)
+
     def tick(self, now: Millis) -> None:
         """Plan the links again if anything has changed, and do what is due for each at `now`."""
         if now >= self._next_plan_at:
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -187,6 +187,11 @@
             sent_at, rows = host.clock.now(), host.rows
             self._send(Ping(host.config.version, sent_at, rows.members, rows.digest))
 
+    def excuse_silence(self, paused_ms: float) -> None:
+        """Add the time for which this daemon was paused to the time that the peer has to reply."""
+        if self._awaiting_since is not None:
+            self._awaiting_since = Millis(self._awaiting_since + paused_ms)
+
     def _needs_ping(self, now: Millis) -> bool:
         """Return whether a busy peer is silent, or the last ping is older than the interval."""
         silent = bool(self._in_flight_by_serial) and now - self._last_received_at > BUSY_PING_MS
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -42,6 +42,8 @@
 TICK_MS = 50
 # A timer of the event loop that is later than this is logged: the processor was busy or taken away.
 LOGGED_LOOP_DELAY_MS = 250.0
+# A tick that is this late means that the process was paused or got no processor.
+PAUSE_MS = 150.0
 # Interval at which connections of the HTTP ports are checked for timeouts.
 SWEEP_MS = 500
 # Readiness checks run every second, and two failures take a daemon out of rotation; this is
@@ -264,6 +266,8 @@
         self._schedule_tick()
         now = self._clock.now()
         self._record_loop_delay(now - due_at)
+        if now - due_at > PAUSE_MS:
+            self._links.excuse_silence(now - due_at)
         self._links.tick(now)
 
     def _record_loop_delay(self, delay_ms: float) -> None:
