--- a/egretworks/callport.py
+++ b/egretworks/callport.py
@@ -52,6 +52,11 @@
         self._connections: set[_Connection] = set()
         self._stopping = False
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the host and port to which the port is bound."""
+        return self._listener.getsockname()
+
     def open(self) -> None:
         """Start listening.
 
@@ -147,8 +152,13 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether no request is being served or partly received."""
-        return not self._busy and not self._reader.request_begun
+        """Return whether no request is being served, is partly received or has arrived unread."""
+        return not self._busy and not self._reader.request_begun and not self._has_unread_bytes()
+
+    def _has_unread_bytes(self) -> bool:
+        with contextlib.suppress(OSError):
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        return False
 
     def run(self) -> None:
         """Answer requests until the caller closes the connection or the port drains."""
