--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -56,6 +56,9 @@
 MIN_RETRY_AFTER_MS = 30.0
 # Callers honour a Retry-After of up to a third of the time they have left.
 MAX_RETRY_AFTER_SHARE = 0.33
+# Callers that are refused together are told times that differ by up to this share, so that they do
+# not return together.
+RETRY_AFTER_JITTER = 0.25
 NOT_READY_RETRY_AFTER_MS = 250.0
 # Logged as the id of a request whose head could not be read.
 UNKNOWN_CALL_ID = CallId("")
@@ -321,7 +324,9 @@
             return
         now = self._host.clock.now()
         left_ms = self._started + self._initial_left_ms - now
-        retry_after_ms = max(MIN_RETRY_AFTER_MS, min(suggested_ms, left_ms * MAX_RETRY_AFTER_SHARE))
+        retry_after_ms = min(suggested_ms, left_ms * MAX_RETRY_AFTER_SHARE)
+        retry_after_ms *= 1.0 - RETRY_AFTER_JITTER * self._host.random.random()
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms)
         self._finish("refused", reason, refusal_response(Overloaded(reason), retry_after_ms))
 
     def _fail(self, error: CallError) -> None:
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -328,7 +328,8 @@
 
     def _refuse_expired(self, now: Millis) -> None:
         for entry in self.queue.remove_expired(now):
-            self._pending_by_entry.pop(entry).refuse(RefusalReason.EXPIRED, 0.0)
+            retry_after_ms = self.queue.retry_after_ms(entry.priority, now)
+            self._pending_by_entry.pop(entry).refuse(RefusalReason.EXPIRED, retry_after_ms)
 
     def _schedule_sweep(self) -> None:
         if not self._sweep_scheduled:
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -30,6 +30,9 @@
 # While there is a standing queue, a request waits for at most this share of the time that was left
 # until its objective when it arrived.
 OVERLOADED_WAIT_SHARE = 0.2
+# The longer a queue has been standing, the longer it will probably stand. A caller that returns
+# before its end takes the place of another, so it is asked to wait for this multiple of its age.
+RETURN_AFTER_STANDING_FACTOR = 4.0
 
 
 class QueueEntry(msgspec.Struct, eq=False):
@@ -92,8 +95,7 @@
 
     run: bool = False
     wait: bool = False
-    # For a refusal: by how much the request would start too late, in milliseconds. After that time
-    # the queue may have room for it.
+    # For a refusal: after how many milliseconds the queue will probably have room for the request.
     retry_after_ms: float = 0.0
 
 
@@ -141,10 +143,20 @@
         entry.latest_start = self._latest_start(entry, now)
         late_ms = now + self._expected_wait_ms(entry, now) - entry.latest_start
         if late_ms > 0:
-            return AdmissionDecision(retry_after_ms=late_ms)
+            return AdmissionDecision(
+                retry_after_ms=max(late_ms, self.retry_after_ms(entry.priority, now))
+            )
         self._waiting.append(entry)
         return AdmissionDecision(wait=True)
 
+    def retry_after_ms(self, priority: int, now: Millis) -> float:
+        """Return after how many milliseconds a refused request should come back.
+
+        It is 0 unless there is a standing queue of requests at least as urgent as `priority`.
+        """
+        standing_ms = now - self._waiting_since.get(priority, now)
+        return standing_ms * RETURN_AFTER_STANDING_FACTOR
+
     def release_slot(self) -> None:
         """Free the slot of a finished request."""
         self._running -= 1
--- /dev/null
+++ b/tests/loadsim.py
@@ -0,0 +1,383 @@
+"""Play loads on whole meshes: real forwarders and gates, with simulated targets, links and time."""
+
+import math
+import random
+from collections import Counter, defaultdict
+
+import msgspec
+from linkpipes import FakeTimeline
+from platformwire import edge
+from simulation import SimClock, Simulation
+
+from egretworks import forwarding, gate, healthchecks
+from egretworks.bytebudget import ByteBudget
+from egretworks.calllog import CallLog
+from egretworks.destinations import LocalDestination
+from egretworks.edge import Heartbeat
+from egretworks.forwarding import Forwarder, ForwardHost
+from egretworks.gate import Gate, GateHost
+from egretworks.httpwire import Request, Response
+from egretworks.linkframes import GateReport
+from egretworks.meshretrybudget import RetryBounds
+from egretworks.meshroutes import MeshConfig, MeshRoute, MeshService, Share
+from egretworks.metrics import Metrics
+from egretworks.targetselection import TargetEstimate
+from egretworks.types import Endpoint, Repeat, TargetState, Version
+
+HOST = "pool.example"
+NEAR_DELAY_MS, FAR_DELAY_MS = 0.3, 1.2
+PING_MS = 1_000
+CLIENT_DELAY_MS = 8.0
+# Callers wait as long as they are told, up to this share of the time that they have left.
+MAX_HONOURED_SHARE = 1 / 3
+# A target at which all slots are used is slower by this share.
+FULL_SLOWDOWN = 0.3
+
+
+class Kind(msgspec.Struct):
+    """A kind of request."""
+
+    name: str
+    service: str
+    work_ms: float
+    objective_ms: float
+    deadline_ms: float
+    worth: float = 1.0
+    late_worth: float = 0.3
+    priority: int = 1
+    retries: int = 2
+    idempotent: bool = True
+    work_spread: float = 0.3
+    # A kind that a run of this one requests on its way, in this share of the runs.
+    calls: str = ""
+    calls_share: float = 0.0
+
+
+class Load(msgspec.Struct):
+    """Requests a second of a kind from one data centre, as a wave."""
+
+    kind: str
+    data_centre: str
+    per_s: float
+    swing: float = 0.0
+    period_ms: float = 13_000.0
+    phase: float = 0.0
+
+    def rate(self, now):
+        wave = math.sin(2 * math.pi * (now / self.period_ms + self.phase))
+        return self.per_s * (1 + self.swing * wave)
+
+
+class SimTarget:
+    """Run requests, each slower by the target's speed; one may call another service midway."""
+
+    def __init__(self, mesh, daemon, service, slots, slowness):
+        self.mesh, self.daemon, self.service, self.slots = mesh, daemon, service, slots
+        self.slowness = slowness
+        self.running = 0
+        self.busy_ms = 0.0
+        self.runs = Counter()
+
+    def send(self, exchange):
+        run = [exchange]
+        id = call_id(exchange.data)
+        kind = self.mesh.kinds[self.mesh.kind_by_id[id]]
+        self.runs[id] += 1
+        self.running += 1
+        self.mesh.arrivals[self] += 1
+        usage = self.running / self.slots
+        work_ms = kind.work_ms * self.slowness * (1 + FULL_SLOWDOWN * usage * usage)
+        work_ms *= self.mesh.random.lognormvariate(0, kind.work_spread)
+        self.busy_ms += work_ms
+
+        def end(status):
+            if run:
+                run.clear()
+                self.running -= 1
+                headers = [(b"X-Egret-Attempt-Id", id.encode()), (b"X-Egret-Stamp", b"s")]
+                exchange.on_done(Response(status, headers, b""))
+
+        def nested():
+            if run:
+                self.mesh.send_nested(self.daemon, kind.calls, lambda ok: finish(ok))
+
+        def finish(ok):
+            if not ok:
+                end(500)
+            else:
+                self.mesh.time.call_later(work_ms / 2, end, 200)
+
+        if kind.calls and self.mesh.random.random() < kind.calls_share:
+            self.mesh.time.call_later(work_ms / 2, nested)
+        else:
+            self.mesh.time.call_later(work_ms, end, 200)
+
+        def abort():
+            if run:
+                run.clear()
+                self.running -= 1
+
+        return abort
+
+
+def call_id(data):
+    """Return the id in the encoded request `data`."""
+    return data.split(b"x-egret-attempt-id: ", 1)[1].split(b"\r\n", 1)[0].decode()
+
+
+class SimLink:
+    """Offer requests to another daemon's gate, knowing its load from outcomes and pings."""
+
+    def __init__(self, mesh, own, peer):
+        self.mesh, self.peer = mesh, peer
+        self.near = own.data_centre == peer.data_centre
+        self.delay_ms = NEAR_DELAY_MS if self.near else FAR_DELAY_MS
+        self.name = peer.id
+        self.in_flight = set()
+        self.report = GateReport(0, 0, 0.0)
+        self.load_of_others = 0
+        mesh.time.call_later(mesh.random.random() * PING_MS, self._ping)
+
+    def offer(self, offer, reply):
+        token = object()
+        self.in_flight.add(token)
+        handles = []
+
+        def arrive():
+            if token in self.in_flight:
+                handles.append(self.peer.gate.offer(offer, done))
+
+        def done(outcome):
+            self.mesh.time.call_later(self.delay_ms, arrived_back, outcome)
+
+        def arrived_back(outcome):
+            known = token in self.in_flight
+            self.in_flight.discard(token)
+            self._update(outcome.report)
+            if known:
+                reply(outcome)
+
+        def cancel():
+            self.in_flight.discard(token)
+            self.mesh.time.call_later(self.delay_ms, lambda: [h.cancel() for h in handles])
+
+        self.mesh.time.call_later(self.delay_ms, arrive)
+        return cancel
+
+    def estimate(self, now):
+        report = self.report
+        return TargetEstimate(
+            self.load_of_others + len(self.in_flight),
+            report.slots or self.peer.target.slots,
+            report.work_ms or 60.0,
+            report.failing_percent,
+            self.near,
+            False,
+            2 * self.delay_ms,
+        )
+
+    def _ping(self):
+        self.mesh.time.call_later(self.delay_ms, self._update, self.peer.gate.report())
+        self.mesh.time.call_later(PING_MS, self._ping)
+
+    def _update(self, report):
+        self.report = report
+        self.load_of_others = max(0, report.load - len(self.in_flight))
+
+
+class SimDaemon:
+    """A daemon with its gate, its forwarder, a link to each other one and a target."""
+
+    def __init__(self, mesh, number, data_centre, service, slots, slowness):
+        self.mesh, self.id, self.data_centre, self.service = (
+            mesh,
+            f"d{number}",
+            data_centre,
+            service,
+        )
+        self.target = SimTarget(mesh, self, service, slots, slowness)
+        calls = CallLog(FakeTimeline(), mesh.clock)
+        self.gate = Gate(
+            GateHost(
+                *(mesh.clock, mesh.edge, Metrics(), FakeTimeline(), calls),
+                lambda: 2_000.0,
+                lambda service: None,
+                lambda: None,
+                ByteBudget(1_000_000),
+            )
+        )
+        heartbeat = Heartbeat(
+            *(f"i{number}", 1, 1, service, Endpoint("10.0.0.1", number + 1), slots),
+            *(TargetState.READY, 0.0),
+        )
+        self.gate.apply_announcement(heartbeat)
+        self.gate._tracker.confirm(heartbeat.id)
+        self.gate._connections = self.target
+        self.links = []
+        self.forwarder = Forwarder(
+            ForwardHost(
+                *(mesh.clock, mesh.random, mesh.edge, Metrics(), calls, mesh),
+                self.destinations,
+                lambda: len(mesh.daemons),
+                lambda: service,
+                lambda: RetryBounds(0.2, 10_000, 60),
+            )
+        )
+        self.local = LocalDestination(self.gate, self.id)
+
+    def destinations(self, service):
+        local = [self.local] if service == self.service else []
+        return local + [link for link in self.links if link.peer.service == service]
+
+
+class SimExchange:
+    """A request of a caller, as the forwarder gets it."""
+
+    def __init__(self, request, respond):
+        self.request, self.respond, self.on_disconnect = request, respond, None
+
+
+class Result(msgspec.Struct):
+    """What became of the requests of a kind."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    refusals: int = 0
+    credit: float = 0.0
+    owed: float = 0.0
+
+
+def sum_of(results):
+    """Return the sum of `results`."""
+    total = Result()
+    for result in results:
+        for field in Result.__struct_fields__:
+            setattr(total, field, getattr(total, field) + getattr(result, field))
+    return total
+
+
+class Mesh:
+    """A mesh of daemons with targets, under open-loop load."""
+
+    def __init__(self, monkeypatch, kinds, seed=1):
+        self.time = Simulation()
+        for module in (forwarding, gate, healthchecks):
+            monkeypatch.setattr(module, "call_later", self.time.call_later)
+        self.clock = SimClock(self.time)
+        self.random = random.Random(seed)
+        self.edge = edge()
+        self.kinds = {kind.name: kind for kind in kinds}
+        self.version = Version(1)
+        self.daemons = []
+        self.kind_by_id = {}
+        self.result_by_kind = defaultdict(Result)
+        self.arrivals = Counter()
+        self._calls = 0
+        self.config = MeshConfig(
+            Version(1), (), {k.service: MeshService(k.service, "/h", 100) for k in kinds}
+        )
+        self.index = self
+        self._routes = {
+            f"/{kind.name}/": MeshRoute(
+                *(kind.name, HOST, f"/{kind.name}/"),
+                Repeat.IDEMPOTENT if kind.idempotent else Repeat.ONCE,
+                *(kind.deadline_ms, kind.objective_ms, kind.priority, 3),
+                (Share(kind.service, 1.0),),
+            )
+            for kind in kinds
+        }
+
+    def find(self, host, path):
+        return self._routes[path]
+
+    def add(self, data_centre, service, slots, slowness=1.0):
+        self.daemons.append(
+            SimDaemon(self, len(self.daemons), data_centre, service, slots, slowness)
+        )
+
+    def link_all(self):
+        for own in self.daemons:
+            own.links = [SimLink(self, own, peer) for peer in self.daemons if peer is not own]
+
+    def apply(self, load):
+        peak = load.per_s * (1 + load.swing)
+
+        def arrive():
+            self.time.call_later(self.random.expovariate(peak) * 1_000, arrive)
+            if self.random.random() * peak < load.rate(self.time.now):
+                self._begin(load)
+
+        self.time.call_later(self.random.expovariate(peak) * 1_000, arrive)
+
+    def _begin(self, load):
+        kind = self.kinds[load.kind]
+        result = self.result_by_kind[kind.name]
+        result.asked += 1
+        result.owed += kind.worth
+        self._try(kind, load.data_centre, self.time.now, kind.retries)
+
+    def _try(self, kind, data_centre, began, retries):
+        local = [d for d in self.daemons if d.data_centre == data_centre]
+        daemon = self.random.choice(local)
+        left_ms = began + kind.deadline_ms - self.time.now
+
+        def answered(response):
+            self.time.call_later(CLIENT_DELAY_MS, receive, response)
+
+        def receive(response):
+            result = self.result_by_kind[kind.name]
+            took_ms = self.time.now - began
+            if response.status == 200:
+                in_time = took_ms <= kind.objective_ms
+                result.in_time += in_time
+                result.late += not in_time
+                result.credit += kind.worth if in_time else kind.late_worth
+                return
+            left_ms = kind.deadline_ms - took_ms
+            if response.status == 503:
+                result.refusals += 1
+            again = retries and (response.status == 503 or kind.idempotent)
+            wait_ms = float(response.header(b"Retry-After") or 0) * 1_000
+            wait_ms = min(wait_ms, left_ms * MAX_HONOURED_SHARE) + 5
+            if again and left_ms - wait_ms > 50:
+                self.time.call_later(wait_ms, self._try, kind, data_centre, began, retries - 1)
+            elif response.status == 503:
+                result.refused += 1
+            else:
+                result.failed += 1
+
+        self.time.call_later(CLIENT_DELAY_MS, self._send, daemon, kind, left_ms, answered)
+
+    def send_nested(self, daemon, name, done):
+        kind = self.kinds[name]
+        result = self.result_by_kind[name]
+        result.asked += 1
+
+        def answered(response):
+            ok = response.status == 200
+            result.in_time += ok
+            result.refused += response.status == 503
+            result.failed += not ok and response.status != 503
+            done(ok)
+
+        self._send(daemon, kind, kind.deadline_ms, answered)
+
+    def _send(self, daemon, kind, left_ms, answered):
+        self._calls += 1
+        id = f"c{self._calls}"
+        self.kind_by_id[id] = kind.name
+        headers = [
+            (b"host", HOST.encode()),
+            (b"x-egret-attempt-id", id.encode()),
+            (b"x-egret-deadline-ms", b"%d" % left_ms),
+        ]
+        request = Request("GET", f"/{kind.name}/".encode(), headers, b"", True)
+        daemon.forwarder.serve(SimExchange(request, answered))
+
+    @property
+    def total(self):
+        """Return the sum of the results of all kinds that callers request."""
+        return sum_of(result for result in self.result_by_kind.values() if result.owed)
--- a/tests/test_rowspread.py
+++ b/tests/test_rowspread.py
@@ -1,12 +1,11 @@
 """Test how changed rows reach all daemons of a fleet, on simulated time."""
 
-import heapq
-import itertools
 import random
 
 import msgspec
 import pytest
 from fleets import make_fleet
+from simulation import Simulation
 
 from egretworks import membersync, rowrelay
 from egretworks.linkframes import Rows, RowsRequest
@@ -22,36 +21,6 @@
 SERVICES = ("portal", "desk", "ledger")
 
 
-class Simulation:
-    """Run events in the order of their times."""
-
-    def __init__(self):
-        self.now = 0.0
-        self._events = []
-        self._order = itertools.count()
-
-    def call_later(self, delay_ms, call, *arguments):
-        event = [self.now + delay_ms, next(self._order), call, arguments]
-        heapq.heappush(self._events, event)
-        return CancellableEvent(event)
-
-    def run_for(self, ms):
-        until = self.now + ms
-        while self._events and self._events[0][0] <= until:
-            self.now, _, call, arguments = heapq.heappop(self._events)
-            if call is not None:
-                call(*arguments)
-        self.now = until
-
-
-class CancellableEvent:
-    def __init__(self, event):
-        self._event = event
-
-    def cancel(self):
-        self._event[2] = None
-
-
 class SimPeer:
     """The sending end of a link from `sender` to `receiver`."""
 
