--- a/egretworks/linkset.py
+++ b/egretworks/linkset.py
@@ -8,7 +8,7 @@
 from egretworks.linkframes import Rows
 from egretworks.linkhost import LinkHost
 from egretworks.linkplan import MAX_NEAR_DAEMONS, LinkPurpose, is_relay, plan_links
-from egretworks.outboundlinks import OutboundLink
+from egretworks.outboundlinks import OutboundLink, ping_stretch
 from egretworks.rowrelay import RowPeer, RowRelay
 from egretworks.rows import DaemonRow
 from egretworks.types import InstanceId, ServiceName
@@ -148,6 +148,9 @@
                 link.purpose = purpose
         for id in self.links_by_id.keys() - purpose_by_id.keys():
             self._unplanned_since_by_id.setdefault(id, now)
+        stretch = ping_stretch(link.purpose for link in self.links_by_id.values())
+        for link in self.links_by_id.values():
+            link.ping_stretch = stretch
 
     def _close_unplanned(self, now: Millis) -> None:
         for id, since in list(self._unplanned_since_by_id.items()):
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from egretworks.clock import Millis
+from egretworks.clock import MILLIS_PER_SECOND, Millis
 from egretworks.exceptions import PeerError
 from egretworks.linkcoding import CompressedCoding, PlainCoding
 from egretworks.linkframes import (
@@ -49,6 +49,9 @@
     LinkPurpose.RELAY: 1_000,
     LinkPurpose.SERVICE: 2_000,
 }
+# All links of a daemon together send at most this many pings a second while nothing is in flight:
+# each of many links is pinged less often, so that control takes no more of a larger mesh.
+MAX_PINGS_PER_S = 25.0
 # Weight of the newest round trip in the moving average of the delay.
 DELAY_GAIN = 0.5
 # A daemon that sends nothing for this long after a ping is suspect: it gets no offers while another
@@ -68,6 +71,12 @@
 UNKNOWN_REPORT = GateReport(slots=0, load=0, work_ms=0.0)
 
 
+def ping_stretch(purposes: Iterable[LinkPurpose]) -> float:
+    """Return the factor for the ping intervals of a daemon that has links of these purposes."""
+    pings_per_s = sum(MILLIS_PER_SECOND / PING_MS_BY_PURPOSE[purpose] for purpose in purposes)
+    return max(1.0, pings_per_s / MAX_PINGS_PER_S)
+
+
 class _Request(msgspec.Struct, frozen=True):
     reply: Reply
     idempotent: bool
@@ -87,6 +96,8 @@
         self._host = host
         self.row = row
         self.purpose = purpose
+        # Factor for the ping interval; see `ping_stretch`.
+        self.ping_stretch = 1.0
         # True if the peer is in the data centre of this daemon.
         self.near = row.data_centre == host.rows.own.data_centre
         self._stream: LinkStream | None = None
@@ -195,7 +206,8 @@
     def _needs_ping(self, now: Millis) -> bool:
         """Return whether a busy peer is silent, or the last ping is older than the interval."""
         silent = bool(self._in_flight_by_serial) and now - self._last_received_at > BUSY_PING_MS
-        return silent or now - self._last_ping_at > PING_MS_BY_PURPOSE[self.purpose]
+        interval_ms = PING_MS_BY_PURPOSE[self.purpose] * self.ping_stretch
+        return silent or now - self._last_ping_at > interval_ms
 
     def reconnect_soon(self) -> None:
         """Reset the backoff, so that a closed link reconnects at the next tick.
--- a/tests/test_linkplan.py
+++ b/tests/test_linkplan.py
@@ -14,6 +14,7 @@
     is_relay,
     plan_links,
 )
+from egretworks.outboundlinks import MAX_PINGS_PER_S, PING_MS_BY_PURPOSE, ping_stretch
 
 SERVICES = ("ledger", "portal", "desk")
 
@@ -109,3 +110,18 @@
 
 def near_of(rows, own):
     return [row for row in rows if row.data_centre == own.data_centre and row.id != own.id]
+
+
+# The pings of a daemon must not take more of its processor in a larger fleet.
+@pytest.mark.parametrize("daemons", [13, 60, 195, 600])
+def test_the_pings_of_a_daemon_are_bounded_whatever_the_size_of_the_fleet(daemons):
+    rows = make_fleet(daemons, 5)
+    for own in rows[:: daemons // 13]:
+        purposes = plan(rows, own).values()
+        stretch = ping_stretch(purposes)
+        pings_per_s = sum(1_000 / (PING_MS_BY_PURPOSE[purpose] * stretch) for purpose in purposes)
+        assert pings_per_s <= MAX_PINGS_PER_S + 0.001
+
+
+def test_the_links_of_a_small_mesh_are_pinged_each_second():
+    assert ping_stretch([LinkPurpose.NEAR] * 12) == 1.0
--- a/tests/test_rowspread.py
+++ b/tests/test_rowspread.py
@@ -11,7 +11,7 @@
 from egretworks.linkframes import Rows, RowsRequest
 from egretworks.linkplan import LinkPurpose, is_relay, plan_links
 from egretworks.membersync import MemberSync
-from egretworks.outboundlinks import PING_MS_BY_PURPOSE
+from egretworks.outboundlinks import PING_MS_BY_PURPOSE, ping_stretch
 from egretworks.rowrelay import RowRelay
 from egretworks.rows import RowTable
 
@@ -43,6 +43,7 @@
         self.relay = RowRelay(row.data_centre, self._is_relay, self)
         others = self.table.rows_by_id.values()
         self.purpose_by_id = plan_links(row, others, SERVICES, lambda id: False)
+        self.ping_stretch = ping_stretch(self.purpose_by_id.values())
         self.peers_by_id = {}
         self.passes_own = False
 
@@ -83,7 +84,10 @@
             )
 
         self.fleet.send(self, other, answer)
-        self.fleet.time.call_later(PING_MS_BY_PURPOSE[purpose], self.ping, id, purpose)
+        self.fleet.time.call_later(self.ping_interval_ms(purpose), self.ping, id, purpose)
+
+    def ping_interval_ms(self, purpose):
+        return PING_MS_BY_PURPOSE[purpose] * self.ping_stretch
 
     def _is_relay(self):
         near = [r for r in self.table.rows_by_id.values() if r.data_centre == self.row.data_centre]
@@ -109,7 +113,7 @@
                 self._connect(daemon, self.daemons_by_id[id])
         for daemon in self.daemons_by_id.values():
             for id, purpose in daemon.purpose_by_id.items():
-                delay_ms = self.random.random() * PING_MS_BY_PURPOSE[purpose]
+                delay_ms = self.random.random() * daemon.ping_interval_ms(purpose)
                 self.time.call_later(delay_ms, daemon.ping, id, purpose)
 
     def send(self, sender, receiver, deliver):
