--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -21,7 +21,7 @@
     Overloaded,
 )
 from egretworks.httpport import HttpExchange
-from egretworks.httpwire import Headers, Response, error_response
+from egretworks.httpwire import Response, error_response
 from egretworks.linkframes import (
     Answered,
     LossReason,
@@ -35,7 +35,7 @@
 from egretworks.meshroutes import MeshRoute, Splitter
 from egretworks.metrics import Metrics
 from egretworks.pendingoffer import CancelCallback
-from egretworks.refusals import RecentRefusals
+from egretworks.refusals import RecentRefusals, refusal_response, retry_after_ms
 from egretworks.streams import call_later
 from egretworks.targetselection import TargetEstimate, select_target
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
@@ -53,12 +53,6 @@
 # A gate sorts requests that will be late behind the rest. So a refusal of a request with less than
 # this share of its objective left says nothing about other requests.
 MIN_OBJECTIVE_LEFT_SHARE = 0.3
-MIN_RETRY_AFTER_MS = 30.0
-# Callers honour a Retry-After of up to a third of the time they have left.
-MAX_RETRY_AFTER_SHARE = 0.33
-# Callers that are refused together are told times that differ by up to this share, so that they do
-# not return together.
-RETRY_AFTER_JITTER = 0.25
 NOT_READY_RETRY_AFTER_MS = 250.0
 # Logged as the id of a request whose head could not be read.
 UNKNOWN_CALL_ID = CallId("")
@@ -102,8 +96,8 @@
             call = self._begin(exchange, head)
         except CallError as error:
             self.record_rejection(error, id)
-            retry_after_ms = NOT_READY_RETRY_AFTER_MS if isinstance(error, NotReady) else 0.0
-            exchange.respond(refusal_response(error, retry_after_ms))
+            after_ms = NOT_READY_RETRY_AFTER_MS if isinstance(error, NotReady) else 0.0
+            exchange.respond(refusal_response(error, after_ms))
             return
         self.in_flight += 1
         exchange.on_disconnect = call.on_caller_gone
@@ -330,10 +324,8 @@
             return
         now = self._host.clock.now()
         left_ms = self._started + self._initial_left_ms - now
-        retry_after_ms = min(suggested_ms, left_ms * MAX_RETRY_AFTER_SHARE)
-        retry_after_ms *= 1.0 - RETRY_AFTER_JITTER * self._host.random.random()
-        retry_after_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms)
-        self._finish("refused", reason, refusal_response(Overloaded(reason), retry_after_ms))
+        after_ms = retry_after_ms(suggested_ms, left_ms, self._host.random)
+        self._finish("refused", reason, refusal_response(Overloaded(reason), after_ms))
 
     def _fail(self, error: CallError) -> None:
         self._finish("failed", error.message, error_response(error))
@@ -394,13 +386,3 @@
         self._timer.cancel()
         self._forwarder.in_flight -= 1
         return True
-
-
-def refusal_response(error: CallError, retry_after_ms: float) -> Response:
-    """Return the response for `error`; a 503 gets a Retry-After in seconds with fractions."""
-    response = error_response(error)
-    if error.http_status != 503:
-        return response
-    headers: Headers = [header for header in response.headers if header[0] != b"Retry-After"]
-    headers.append((b"Retry-After", b"%.3f" % (retry_after_ms / 1_000)))
-    return Response(response.status, headers, response.body)
--- a/egretworks/refusals.py
+++ b/egretworks/refusals.py
@@ -1,14 +1,22 @@
-"""Remember which targets have just refused requests of a route because they were busy."""
+"""Remember which targets have just refused requests, and tell callers when to return."""
 
 from __future__ import annotations
 
-from egretworks.clock import Millis
-from egretworks.types import RouteName
+from egretworks.clock import MILLIS_PER_SECOND, Millis
+from egretworks.exceptions import CallError
+from egretworks.httpwire import Headers, Response, error_response
+from egretworks.types import RandomSource, RouteName
 
 # After this time a refusal says little about the target, as each answer frees a slot.
 MAX_REMEMBERED_MS = 40.0
 # Expired entries are removed once the number of entries has reached this.
 PRUNE_AT_ENTRIES = 2_000
+MIN_RETRY_AFTER_MS = 30.0
+# Callers honour a Retry-After of up to a third of the time they have left.
+MAX_RETRY_AFTER_SHARE = 0.33
+# Callers that are refused together are told times that differ by up to this share, so that they do
+# not return together.
+RETRY_AFTER_JITTER = 0.25
 
 
 class RecentRefusals:
@@ -31,3 +39,22 @@
     def is_busy(self, daemon: str, route: RouteName, now: Millis) -> bool:
         """Return whether `daemon` would probably refuse a request of `route`."""
         return self._busy_until.get((daemon, route), now) > now
+
+
+def retry_after_ms(suggested_ms: float, left_ms: float, random: RandomSource) -> float:
+    """Return after how many milliseconds a refused caller with `left_ms` left should return.
+
+    `suggested_ms` is what the gate suggests.
+    """
+    longest_ms = min(suggested_ms, left_ms * MAX_RETRY_AFTER_SHARE)
+    return max(MIN_RETRY_AFTER_MS, longest_ms * (1.0 - RETRY_AFTER_JITTER * random.random()))
+
+
+def refusal_response(error: CallError, after_ms: float) -> Response:
+    """Return the response for `error`; a 503 gets a Retry-After in seconds with fractions."""
+    response = error_response(error)
+    if error.http_status != 503:
+        return response
+    headers: Headers = [header for header in response.headers if header[0] != b"Retry-After"]
+    headers.append((b"Retry-After", b"%.3f" % (after_ms / MILLIS_PER_SECOND)))
+    return Response(response.status, headers, response.body)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,6 +1,16 @@
-"""Test that refusals are remembered briefly, by target and route."""
+"""Test that refusals are remembered briefly, and when refused callers are told to return."""
 
-from egretworks.refusals import MAX_REMEMBERED_MS, PRUNE_AT_ENTRIES, RecentRefusals
+import random
+
+from egretworks.refusals import (
+    MAX_REMEMBERED_MS,
+    MAX_RETRY_AFTER_SHARE,
+    MIN_RETRY_AFTER_MS,
+    PRUNE_AT_ENTRIES,
+    RETRY_AFTER_JITTER,
+    RecentRefusals,
+    retry_after_ms,
+)
 
 
 def test_a_target_is_busy_for_the_route_until_a_slot_may_be_free():
@@ -24,3 +34,15 @@
     for number in range(PRUNE_AT_ENTRIES * 3):
         refusals.record(f"d{number}", "view", MAX_REMEMBERED_MS, float(number))
     assert len(refusals._busy_until) <= PRUNE_AT_ENTRIES + 1
+
+
+def test_callers_refused_together_return_at_different_times_that_they_honour():
+    source = random.Random(1)
+    times = [retry_after_ms(5_000.0, 4_000.0, source) for _ in range(200)]
+    assert max(times) <= 4_000.0 / 3
+    assert min(times) >= 4_000.0 * MAX_RETRY_AFTER_SHARE * (1 - RETRY_AFTER_JITTER)
+    assert max(times) - min(times) > 250
+
+
+def test_a_caller_is_not_told_to_return_at_once():
+    assert retry_after_ms(0.0, 4_000.0, random.Random(1)) == MIN_RETRY_AFTER_MS
