--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -30,8 +30,6 @@
 # After a late request has waited in vain, others are refused at once for this long: the requests in
 # time take all that the target can do.
 LATE_REFUSED_MS = 1_000.0
-# A late request leaves this many slots free for those in time that may come while it runs.
-LATE_FREE_SLOTS = 1
 # A queue that has not been empty for this long is a standing queue: it gets more requests than its
 # target can process, and longer waits only make every answer late.
 OVERLOADED_AFTER_MS = 150.0
@@ -113,8 +111,7 @@
     """Count the used slots of one target and hold the requests that wait for one.
 
     The owner calls `admit` when a slot becomes free, and from time to time while requests wait, so
-    that they wait only while all slots are in use or the target's rate limit is reached; late ones
-    also while a single slot is free.
+    that they wait only while all slots are in use or the target's rate limit is reached.
     """
 
     def __init__(self, slots: int) -> None:
@@ -185,13 +182,10 @@
     def admit(self, now: Millis) -> QueueEntry | None:
         """Give a free slot to the first waiting request and return it.
 
-        Returns None if no slot is free, nothing waits, or the target's rate limit is reached, and
-        for the last free slot also if only requests that entered late wait.
+        Returns None if no slot is free, nothing waits, or the target's rate limit is reached.
         """
         if self._running >= self.slots or not self._waiting:
             return None
-        if not self._has_slot_for_late and all(entry.entered_late for entry in self._waiting):
-            return None
         if not self.rate_limit.try_take(now):
             return None
         entry = min(self._waiting, key=lambda waiting: self._sort_key(waiting, now))
@@ -205,10 +199,6 @@
             return not self._waiting
         return all(waiting.entered_late for waiting in self._waiting)
 
-    @property
-    def _has_slot_for_late(self) -> bool:
-        return not self._running or self._running < self.slots - LATE_FREE_SLOTS
-
     def remove_expired(self, now: Millis) -> list[QueueEntry]:
         """Remove and return the waiting requests whose latest start has passed."""
         expired = [entry for entry in self._waiting if now > entry.latest_start]
