--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -11,9 +11,6 @@
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
     Cancel,
-    ConfigCopy,
-    ConfigDelta,
-    ConfigRequest,
     Frame,
     Hello,
     LossReason,
@@ -25,8 +22,6 @@
     Pong,
     RefusalReason,
     Refused,
-    Rows,
-    RowsRequest,
 )
 from egretworks.linkhost import LinkHost
 from egretworks.linkstream import LinkStream
@@ -34,7 +29,7 @@
 from egretworks.pendingoffer import OfferHandle
 from egretworks.streams import Stream
 from egretworks.transit import TransitEstimator
-from egretworks.types import NO_VERSION, InstanceId, Version
+from egretworks.types import NO_VERSION, InstanceId
 
 # Suggested delay before a request is retried that was refused because body memory was full.
 BODY_MEMORY_WAIT_MS = 100.0
@@ -134,36 +129,30 @@
             if request is not None:
                 self._cancel(request)
         elif isinstance(frame, Ping):
-            self._queued_ms(frame)
-            host = self._host
-            rows = host.rows
-            self.send_frame(
-                Pong(host.config.version, host.gate.report(), rows.members, rows.digest)
-            )
-            host.config.on_peer_version(frame.config_version, self)
-            host.member_sync.on_peer_digests(frame.members, frame.rows_digest, self)
+            self._handle_ping(frame)
         elif isinstance(frame, Hello):
-            self._peer_incarnation = PeerIncarnation(frame.row.id, frame.row.incarnation)
-            self._stream.peer = self.peer
-            self.near = frame.row.data_centre == self._host.rows.own.data_centre
-            self.reads_deltas = frame.protocol >= DELTA_PROTOCOL
-            self._queued_ms(frame)
-            self.send_frame(self._host.hello(self.peer, frame.protocol))
-            self._host.receive_rows([frame.row, *frame.rows])
-            self._host.config.on_peer_version(frame.config_version, self)
-            self._host.member_sync.on_peer_digests(frame.members, frame.rows_digest, self)
-        elif isinstance(frame, Rows):
-            self._host.receive_rows(frame.rows)
-        elif isinstance(frame, RowsRequest):
-            self.send_frame(Rows(self._host.rows.rows_that_differ(frame.bucket_digests)))
+            self._handle_hello(frame)
         elif isinstance(frame, OutcomeQuery):
             self._answer_outcome_query(frame.serials)
-        elif isinstance(frame, ConfigRequest):
-            self._host.config.send_config(self, Version(frame.known_version))
-        elif isinstance(frame, ConfigCopy):
-            self._host.config.apply_copy(frame, self.peer)
-        elif isinstance(frame, ConfigDelta):
-            self._host.config.apply_delta(frame, self, self.peer)
+        else:
+            self._host.handle_state(frame, self, self.peer)
+
+    def _handle_ping(self, ping: Ping) -> None:
+        self._queued_ms(ping)
+        host, rows = self._host, self._host.rows
+        self.send_frame(Pong(host.config.version, host.gate.report(), rows.members, rows.digest))
+        host.compare_state(ping, self)
+
+    def _handle_hello(self, hello: Hello) -> None:
+        host = self._host
+        self._peer_incarnation = PeerIncarnation(hello.row.id, hello.row.incarnation)
+        self._stream.peer = self.peer
+        self.near = hello.row.data_centre == host.rows.own.data_centre
+        self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
+        self._queued_ms(hello)
+        self.send_frame(host.hello(self.peer, hello.protocol))
+        host.receive_rows([hello.row, *hello.rows])
+        host.compare_state(hello, self)
 
     def _queued_ms(self, frame: Hello | Offer | Ping) -> float:
         """Return how long `frame` was queued on its way; 0 if an older build sent it.
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -3,27 +3,43 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
 from egretworks.bytebudget import ByteBudget
 from egretworks.calllog import CallLog
 from egretworks.clock import Clock
-from egretworks.configholder import ConfigHolder
+from egretworks.configholder import ConfigHolder, ConfigPeer
 from egretworks.gate import Gate
-from egretworks.linkframes import DELTA_PROTOCOL, LINK_PROTOCOL, Hello
-from egretworks.membersync import MemberSync
+from egretworks.linkframes import (
+    DELTA_PROTOCOL,
+    LINK_PROTOCOL,
+    ConfigCopy,
+    ConfigDelta,
+    ConfigRequest,
+    Frame,
+    Hello,
+    Ping,
+    Pong,
+    Rows,
+    RowsRequest,
+)
+from egretworks.membersync import MemberPeer, MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.rows import DaemonRow, RowTable, TargetRow
 from egretworks.timeline import Timeline
-from egretworks.types import InstanceId
+from egretworks.types import InstanceId, Version
 
 if TYPE_CHECKING:
     from egretworks.inboundlinks import InboundLink
 
 
+class LinkEnd(ConfigPeer, MemberPeer, Protocol):
+    """An end of a link, over which rows and configurations are exchanged with the peer."""
+
+
 class LinkHost(msgspec.Struct, frozen=True):
     """Give links access to the daemon's state and notify the daemon of changed rows."""
 
@@ -68,6 +84,24 @@
             self.rows.digest,
         )
 
+    def compare_state(self, frame: Hello | Ping | Pong, link: LinkEnd) -> None:
+        """Request what the peer has, as `frame` shows, and this daemon has not."""
+        self.config.on_peer_version(frame.config_version, link)
+        self.member_sync.on_peer_digests(frame.members, frame.rows_digest, link)
+
+    def handle_state(self, frame: Frame, link: LinkEnd, peer: InstanceId) -> None:
+        """Handle a frame with rows or a configuration, or a request for them; ignore others."""
+        if isinstance(frame, Rows):
+            self.receive_rows(frame.rows)
+        elif isinstance(frame, RowsRequest):
+            link.send_frame(Rows(self.rows.rows_that_differ(frame.bucket_digests)))
+        elif isinstance(frame, ConfigCopy):
+            self.config.apply_copy(frame, peer)
+        elif isinstance(frame, ConfigDelta):
+            self.config.apply_delta(frame, link, peer)
+        elif isinstance(frame, ConfigRequest):
+            self.config.send_config(link, Version(frame.known_version))
+
     def receive_rows(self, rows: list[DaemonRow]) -> None:
         """Merge `rows`, which a peer has sent, and notify the daemon of what changed."""
         changed = self.merge_rows(rows)
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -13,9 +13,6 @@
     DELTA_PROTOCOL,
     Answered,
     Cancel,
-    ConfigCopy,
-    ConfigDelta,
-    ConfigRequest,
     Frame,
     GateReport,
     Hello,
@@ -27,8 +24,6 @@
     Ping,
     Pong,
     Refused,
-    Rows,
-    RowsRequest,
 )
 from egretworks.linkhost import LinkHost
 from egretworks.linkplan import LinkPurpose
@@ -37,7 +32,7 @@
 from egretworks.rows import DaemonRow
 from egretworks.streams import Stream, connect
 from egretworks.targetselection import TargetEstimate
-from egretworks.types import NO_VERSION, InstanceId, Version
+from egretworks.types import NO_VERSION, InstanceId
 
 CONNECT_TIMEOUT_MS = 600
 # A peer that sends nothing for this long while requests are in flight is pinged.
@@ -274,20 +269,11 @@
             round_trip_ms = self._host.clock.now() - self._last_ping_at
             self._delay_ms += (round_trip_ms - self._delay_ms) * DELAY_GAIN
             self._update_report(frame.report)
-            self._host.config.on_peer_version(frame.config_version, self)
-            self._host.member_sync.on_peer_digests(frame.members, frame.rows_digest, self)
+            self._host.compare_state(frame, self)
         elif isinstance(frame, Hello):
             self._handle_hello(frame)
-        elif isinstance(frame, Rows):
-            self._host.receive_rows(frame.rows)
-        elif isinstance(frame, RowsRequest):
-            self._send(Rows(self._host.rows.rows_that_differ(frame.bucket_digests)))
-        elif isinstance(frame, ConfigCopy):
-            self._host.config.apply_copy(frame, self.row.id)
-        elif isinstance(frame, ConfigDelta):
-            self._host.config.apply_delta(frame, self, self.row.id)
-        elif isinstance(frame, ConfigRequest):
-            self._host.config.send_config(self, Version(frame.known_version))
+        else:
+            self._host.handle_state(frame, self, self.row.id)
 
     def _handle_hello(self, hello: Hello) -> None:
         self._host.receive_rows([hello.row, *hello.rows])
@@ -300,8 +286,7 @@
         self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
         self._host.timeline.record("link_up", target=self.row.id, detail=self.purpose.value)
         self._query_outcomes()
-        self._host.config.on_peer_version(hello.config_version, self)
-        self._host.member_sync.on_peer_digests(hello.members, hello.rows_digest, self)
+        self._host.compare_state(hello, self)
 
     def _finish(self, outcome: Outcome) -> None:
         request = self._in_flight_by_serial.pop(outcome.serial, None)
