--- a/egretworks/destinations.py
+++ b/egretworks/destinations.py
@@ -15,6 +15,9 @@
 class Destination(Protocol):
     """One target to which requests can be offered."""
 
+    # Whether the target is in the data centre of this daemon.
+    near: bool
+
     def offer(self, offer: Offer, reply: Reply) -> CancelCallback:
         """Offer a request and return a callback that cancels it.
 
@@ -33,6 +36,8 @@
 class LocalDestination:
     """The local target, behind this daemon's gate."""
 
+    near = True
+
     def __init__(self, gate: Gate, name: InstanceId) -> None:
         self._gate = gate
         self.name = name
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -47,7 +47,10 @@
 DEADLINE_GRACE_MS = 120
 # A request that a gate refuses without sending it to its target is offered again until it has had
 # this many offers. Such another offer costs no retry budget, as no target has received the request.
-MAX_OFFERS = 4
+MAX_OFFERS = 10
+# After this many offers in its own data centre, a request goes wherever it is answered soonest: at
+# a crest the targets of one data centre are full, while others have room.
+MAX_NEAR_OFFERS = 6
 # Another attempt with less time left than this cannot succeed.
 MIN_ATTEMPT_MS = 20.0
 # A gate sorts requests that will be late behind the rest. So a refusal of a request with less than
@@ -178,7 +181,8 @@
         untried = self._untried()
         destinations = self._not_busy(untried) or untried
         estimates = [destination.estimate(now) for destination in destinations]
-        index = select_target(estimates, self._host.random)
+        near_offers = sum(destination.near for destination in self._tried)
+        index = select_target(estimates, self._host.random, avoid_far=near_offers < MAX_NEAR_OFFERS)
         if index is None or self._deadline - now < 1:
             self._refuse(
                 NOT_READY_RETRY_AFTER_MS, "no serving target of the service, or no time left"
--- a/egretworks/targetselection.py
+++ b/egretworks/targetselection.py
@@ -48,16 +48,19 @@
     return estimate.delay_ms + work_ms * (1.0 + queued / slots + FULL_SLOTS_COST * usage * usage)
 
 
-def select_target(estimates: Iterable[TargetEstimate], random: RandomSource) -> int | None:
+def select_target(
+    estimates: Iterable[TargetEstimate], random: RandomSource, *, avoid_far: bool = True
+) -> int | None:
     """Return the index of the best of `estimates`, or None if it is empty.
 
-    A target whose daemon is suspect is selected only if all daemons are.
+    A target whose daemon is suspect is selected only if all daemons are; with `avoid_far`, one in
+    another data centre only if it is much better than those in this one.
     """
     best = None
     best_rank = (True, 0.0)
     for index, estimate in enumerate(estimates):
         cost_ms = expected_ms(estimate) * (1.0 + COST_JITTER * random.random())
-        if not estimate.near:
+        if avoid_far and not estimate.near:
             cost_ms += FAR_COST_FACTOR * estimate.work_ms
         rank = (estimate.suspect, cost_ms)
         if best is None or rank < best_rank:
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -18,9 +18,11 @@
 from egretworks.gate import Gate, GateHost
 from egretworks.httpwire import Request, Response
 from egretworks.linkframes import GateReport
+from egretworks.linkplan import LinkPurpose, plan_links
 from egretworks.meshretrybudget import RetryBounds
 from egretworks.meshroutes import MeshConfig, MeshRoute, MeshService, Share
 from egretworks.metrics import Metrics
+from egretworks.rows import DaemonRow
 from egretworks.targetselection import TargetEstimate
 from egretworks.types import Endpoint, Repeat, TargetState, Version
 
@@ -134,6 +136,7 @@
         self.delay_ms = NEAR_DELAY_MS if self.near else FAR_DELAY_MS
         self.name = peer.id
         self.in_flight = set()
+        self.offers = 0
         self.report = GateReport(0, 0, 0.0)
         self.load_of_others = 0
         mesh.time.call_later(mesh.random.random() * PING_MS, self._ping)
@@ -141,6 +144,7 @@
     def offer(self, offer, reply):
         token = object()
         self.in_flight.add(token)
+        self.offers += 1
         handles = []
 
         def arrive():
@@ -225,6 +229,13 @@
         )
         self.local = LocalDestination(self.gate, self.id)
 
+    @property
+    def row(self):
+        return DaemonRow(
+            *(self.id, self.data_centre, "10.0.0.1", 1, 1, 0),
+            target=self.gate.row(),
+        )
+
     def destinations(self, service):
         local = [self.local] if service == self.service else []
         return local + [link for link in self.links if link.peer.service == service]
@@ -304,6 +315,19 @@
         for own in self.daemons:
             own.links = [SimLink(self, own, peer) for peer in self.daemons if peer is not own]
 
+    def link_planned(self):
+        """Link daemons as they would plan it themselves."""
+        rows = {daemon.id: daemon.row for daemon in self.daemons}
+        services = {daemon.service for daemon in self.daemons}
+        for own in self.daemons:
+            others = [row for id, row in rows.items() if id != own.id]
+            planned = plan_links(own.row, others, services, lambda id: False)
+            own.links = [
+                SimLink(self, own, peer)
+                for peer in self.daemons
+                if planned.get(peer.id) in (LinkPurpose.NEAR, LinkPurpose.SERVICE)
+            ]
+
     def apply(self, load):
         peak = load.per_s * (1 + load.swing)
 
