--- a/egretworks/cmdline.py
+++ b/egretworks/cmdline.py
@@ -13,8 +13,8 @@
 from egretworks.exceptions import EgretError
 from egretworks.explain import explain as explain_call
 from egretworks.explain import format_trace, read_events
-from egretworks.ledger import parse_number
 from egretworks.tables import as_json, as_table, as_time
+from egretworks.ticketnumbers import parse_number
 from egretworks.tickets import Ticket
 from egretworks.types import TicketNumber
 
--- a/egretworks/delivery.py
+++ b/egretworks/delivery.py
@@ -14,10 +14,10 @@
 import msgspec
 
 from egretworks.exceptions import ChangeRefused, PeerError, TicketError
-from egretworks.ledger import decode_state, encode_state
 from egretworks.messages import MemberRow, SyncReply, compress, decompress
 from egretworks.rendezvous import rendezvous
 from egretworks.state import Change, MeshState, apply_change
+from egretworks.statecoding import decode_state, encode_state
 from egretworks.tickets import check_balancing_policies, check_body
 from egretworks.types import Address, DataCentre, InstanceId, RandomSource, TicketNumber, Version
 
--- a/egretworks/ledger.py
+++ b/egretworks/ledger.py
@@ -17,44 +17,34 @@
     ChangeRefused,
     ObjectConflict,
     ObjectNotFound,
-    PeerError,
     PlatformUnavailable,
     TicketConflict,
-    TicketInvalid,
     TicketNotFound,
 )
-from egretworks.messages import compress, decompress
-from egretworks.objects import LIST_LIMIT, ObjectStore, StoredObject, dump, load
+from egretworks.objects import LIST_LIMIT, ObjectStore, StoredObject, dump, load, object_name
 from egretworks.resources import TicketBody
 from egretworks.state import (
     Change,
     MeshState,
     apply_change,
     change_for,
-    check_state,
     void_change,
     with_origin,
 )
+from egretworks.statecoding import decode_state, encode_state
+from egretworks.ticketnumbers import TICKETS, TicketNumbers
 from egretworks.tickets import Ticket, check_body
 from egretworks.types import TicketNumber, TicketState, Version, WriterMark
 
 # Kinds of the objects on the platform.
-TICKETS = "tickets"
 CHANGES = "changes"
 SNAPSHOTS = "snapshots"
-HINTS = "hints"
 # Name of the object, of kind `SNAPSHOTS`, that points at the newest snapshot.
 LATEST = "latest"
 # Attempts at a conditional write that loses to other writers.
 MAX_TRIES = 50
 
 
-class NumberHint(msgspec.Struct, frozen=True):
-    """Hold a ticket number known to be taken, from which the search for the last one starts."""
-
-    number: int
-
-
 class SnapshotPointer(msgspec.Struct, frozen=True):
     """Hold the version of the newest snapshot of the mesh's state."""
 
@@ -68,11 +58,6 @@
     etag: str
 
 
-def object_name(number: int) -> str:
-    """Return `number` padded with zeros, so that names sort in numeric order."""
-    return f"{number:012d}"
-
-
 class Ledger:
     """Read and write tickets, the log of changes and its snapshots on `store`.
 
@@ -86,6 +71,7 @@
         self._store = store
         self._clock = clock
         self._new_mark = new_mark
+        self._numbers = TicketNumbers(store)
 
     def file(self, body: TicketBody) -> Ticket:
         """Store `body` under the next free number and return the ticket.
@@ -95,14 +81,14 @@
         """
         check_body(body)
         mark = self._new_mark()
-        number = self._last_number() + 1
+        number = self._numbers.last() + 1
         for _ in range(MAX_TRIES):
             ticket = Ticket(number, body, mark, self._clock.wall())
             if self._create_marked(TICKETS, number, dump(ticket), mark, Ticket):
-                self._update_hint(number)
+                self._numbers.raise_hint(number)
                 return ticket
             # Other operators may have filed many tickets since the last read.
-            number = max(number, self._last_number()) + 1
+            number = max(number, self._numbers.last()) + 1
         raise TicketConflict(
             f"other operators took each of {MAX_TRIES} ticket numbers first",
             next_step="file again",
@@ -336,40 +322,6 @@
             raise error from None
         return load(stored.value, document).writer == mark
 
-    def _last_number(self) -> int:
-        """Return the highest ticket number taken.
-
-        The hint only saves reading the list of tickets from its start.
-        """
-        try:
-            number = load(self._store.read(HINTS, TICKETS).value, NumberHint).number
-        except ObjectNotFound:
-            number = 0
-        while True:
-            page = self._store.list(TICKETS, after=object_name(number))
-            if page.items:
-                number = int(page.items[-1].name)
-            if len(page.items) < LIST_LIMIT:
-                return number
-
-    def _update_hint(self, number: int) -> None:
-        """Raise the hint to `number`, ignoring failed writes: the hint may lag behind."""
-        value = dump(NumberHint(number))
-        try:
-            current = self._store.read(HINTS, TICKETS)
-            if load(current.value, NumberHint).number < number:
-                self._store.update(HINTS, TICKETS, value, current.etag)
-        except ObjectNotFound:
-            self._try_create_hint(value)
-        except (ObjectConflict, PlatformUnavailable):
-            return
-
-    def _try_create_hint(self, value: bytes) -> None:
-        try:
-            self._store.create(HINTS, TICKETS, value)
-        except (ObjectConflict, PlatformUnavailable):
-            return
-
 
 def _raise_if_refused(ticket: Ticket) -> Ticket:
     """Return `ticket`, or raise `ChangeRefused` with the reason if it was refused."""
@@ -378,25 +330,3 @@
             f"ticket {ticket.number} was refused: {ticket.reason}", next_step="file a new ticket"
         )
     return ticket
-
-
-def encode_state(state: MeshState) -> bytes:
-    """Encode and compress `state`, for a snapshot or a peer."""
-    return compress(state)
-
-
-def decode_state(data: bytes) -> MeshState:
-    """Decode and check a state, or raise `ChangeRefused` if it is unreadable or inconsistent."""
-    try:
-        state = decompress(data, MeshState)
-    except PeerError as error:
-        raise ChangeRefused(f"cannot decode the state of the mesh: {error}") from error
-    check_state(state)
-    return state
-
-
-def parse_number(text: str) -> TicketNumber:
-    """Return `text` as a ticket number, or raise `TicketInvalid`."""
-    if not text.isdigit() or int(text) < 1:
-        raise TicketInvalid(f"{text!r} is not a ticket number: it must be an integer from 1 up")
-    return TicketNumber(int(text))
--- a/egretworks/membership.py
+++ b/egretworks/membership.py
@@ -12,9 +12,16 @@
 from collections.abc import Iterable
 
 import msgspec
-import xxhash
 
 from egretworks.clock import Millis
+from egretworks.memberrows import (
+    BUCKETS,
+    ENVELOPE_BYTES,
+    bucket_of,
+    pack_rows,
+    row_digest,
+    supersedes,
+)
 from egretworks.messages import (
     MAX_DATAGRAM_BYTES,
     Ack,
@@ -39,10 +46,6 @@
 # A changed row is piggybacked on about this many datagrams for each doubling of the number of
 # members.
 RETRANSMIT_FACTOR = 3
-# Rows are grouped by the hash of their id; tables are compared by the digest of each bucket.
-BUCKETS = 64
-# Allowance for everything in a datagram except its rows.
-ENVELOPE_BYTES = 120
 
 # Members in these states are live: a suspect one may still refute the suspicion.
 LIVE_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
@@ -259,7 +262,7 @@
         held = self.rows_by_id.get(id)
         if id == self.own_id:
             return self._refute(row)
-        if held is not None and not _supersedes(row, held):
+        if held is not None and not supersedes(row, held):
             return False
         if held is None and row.state not in LIVE_STATES:
             self._tombstoned_at_by_id[id] = now
@@ -334,10 +337,10 @@
         bucket = bucket_of(id)
         held = self.rows_by_id.pop(id, None)
         if held is not None:
-            self._digests[bucket] ^= _row_digest(held)
+            self._digests[bucket] ^= row_digest(held)
         if row is not None:
             self.rows_by_id[id] = row
-            self._digests[bucket] ^= _row_digest(row)
+            self._digests[bucket] ^= row_digest(row)
         self.generation += 1
 
     # Dissemination.
@@ -383,45 +386,3 @@
         excluded = (self.own_id, excluding)
         drawn = self._random.sample(live, min(count + len(excluded), len(live)))
         return [row for row in drawn if row.id not in excluded][:count]
-
-
-_RANK_BY_STATE = {
-    MemberState.ALIVE: 0,
-    MemberState.SUSPECT: 1,
-    MemberState.DEAD: 2,
-    MemberState.LEFT: 3,
-}
-
-
-def _supersedes(row: MemberRow, held: MemberRow) -> bool:
-    return _precedence(row) > _precedence(held)
-
-
-def _precedence(row: MemberRow) -> tuple[int, int, int]:
-    """Return the sort key by which a row supersedes an older one of the same instance."""
-    return (row.incarnation, row.serial, _RANK_BY_STATE[row.state])
-
-
-def bucket_of(id: str) -> int:
-    """Return the number of the bucket that holds the row of instance `id`."""
-    return xxhash.xxh3_64_intdigest(id.encode()) % BUCKETS
-
-
-def _row_digest(row: MemberRow) -> int:
-    return xxhash.xxh3_64_intdigest(encode(row))
-
-
-def pack_rows(rows: list[MemberRow]) -> list[tuple[MemberRow, ...]]:
-    """Split `rows` into groups that each fit into one datagram.
-
-    A row that is too large for a datagram forms a group by itself.
-    """
-    groups: list[list[MemberRow]] = [[]]
-    size = ENVELOPE_BYTES
-    for row in rows:
-        size += len(encode(row))
-        if size > MAX_DATAGRAM_BYTES and groups[-1]:
-            groups.append([])
-            size = ENVELOPE_BYTES + len(encode(row))
-        groups[-1].append(row)
-    return [tuple(group) for group in groups if group]
--- a/egretworks/objects.py
+++ b/egretworks/objects.py
@@ -21,6 +21,11 @@
 LIST_LIMIT = 500
 
 
+def object_name(number: int) -> str:
+    """Return `number` padded with zeros, so that names sort in numeric order."""
+    return f"{number:012d}"
+
+
 class StoredObject(msgspec.Struct, frozen=True):
     """Hold an object's name, its value and the entity tag of its version."""
 
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -14,13 +14,13 @@
 
 from egretworks.clock import Millis
 from egretworks.delivery import InForce, aggregator, watchers
-from egretworks.ledger import encode_state
 from egretworks.membership import Membership, Outgoing
 from egretworks.messages import MemberRow, MembersReply, Ping, TargetRow, Update, compress, encode
 from egretworks.once import Answer as OnceAnswer
 from egretworks.once import Claim, Shard, settle_done, try_claim
 from egretworks.resources import Match, Route, Service, TicketBody
 from egretworks.state import MeshState, change_for
+from egretworks.statecoding import encode_state
 from egretworks.types import (
     DataCentre,
     InstanceId,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -6,10 +6,10 @@
 
 from egretworks.delivery import MAX_KEPT_CHANGES, InForce, OfferResult
 from egretworks.exceptions import ChangeRefused
-from egretworks.ledger import decode_state, encode_state
 from egretworks.messages import SyncReply
 from egretworks.resources import Match, Removal, Route, Service, TicketBody
 from egretworks.state import Change, MeshState, apply_change, change_for
+from egretworks.statecoding import decode_state, encode_state
 from egretworks.types import TicketNumber, Version
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -62,11 +62,11 @@
     other, delayed = operators.new_ledger(), operators.new_ledger()
     for number in range(MAX_TRIES + 5):
         other.file(service_ticket(f"s{number}"))
-    read_last_number = delayed._last_number
+    read_last_number = delayed._numbers.last
     outdated_numbers = [0]
     monkeypatch.setattr(
-        delayed,
-        "_last_number",
+        delayed._numbers,
+        "last",
         lambda: outdated_numbers.pop() if outdated_numbers else read_last_number(),
     )
     assert delayed.file(service_ticket("late")).number == MAX_TRIES + 6
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,12 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from egretworks.clock import Millis
-from egretworks.membership import (
-    BUCKETS,
-    TOMBSTONE_RETENTION_MS,
-    Membership,
-    pack_rows,
-)
+from egretworks.memberrows import BUCKETS, pack_rows
+from egretworks.membership import TOMBSTONE_RETENTION_MS, Membership
 from egretworks.messages import MAX_DATAGRAM_BYTES, MemberRow, TargetRow, encode
 from egretworks.types import InstanceId, MemberState, TargetState
 
