--- /dev/null
+++ b/tests/simdaemons.py
@@ -0,0 +1,202 @@
+"""Simulate parts of a mesh under load: daemons with real gates and forwarders, links, targets."""
+
+from collections import Counter
+
+from linkpipes import FakeTimeline
+
+from egretworks.bytebudget import ByteBudget
+from egretworks.calllog import CallLog
+from egretworks.destinations import LocalDestination
+from egretworks.edge import Heartbeat
+from egretworks.forwarding import Forwarder, ForwardHost
+from egretworks.gate import Gate, GateHost
+from egretworks.httpwire import Response
+from egretworks.linkframes import GateReport
+from egretworks.meshretrybudget import RetryBounds
+from egretworks.metrics import Metrics
+from egretworks.rows import DaemonRow
+from egretworks.targetselection import TargetEstimate
+from egretworks.types import Endpoint, TargetState
+
+NEAR_DELAY_MS, FAR_DELAY_MS = 0.3, 1.2
+PING_MS = 1_000
+# A target at which all slots are used is slower by this share.
+FULL_SLOWDOWN = 0.3
+
+
+class SimTarget:
+    """Run requests, each slower by the target's speed; one may call another service midway."""
+
+    def __init__(self, mesh, daemon, service, slots, slowness):
+        self.mesh, self.daemon, self.service, self.slots = mesh, daemon, service, slots
+        self.slowness = slowness
+        self.running = 0
+        self.busy_ms = 0.0
+        self.runs = Counter()
+
+    def send(self, exchange):
+        run = [exchange]
+        id = call_id(exchange.data)
+        kind = self.mesh.kinds[self.mesh.kind_by_id[id]]
+        self.runs[id] += 1
+        self.running += 1
+        self.mesh.arrivals[self] += 1
+        usage = self.running / self.slots
+        work_ms = kind.work_ms * self.slowness * (1 + FULL_SLOWDOWN * usage * usage)
+        work_ms *= self.mesh.random.lognormvariate(0, kind.work_spread)
+        self.busy_ms += work_ms
+
+        def end(status):
+            if run:
+                run.clear()
+                self.running -= 1
+                headers = [(b"X-Egret-Attempt-Id", id.encode()), (b"X-Egret-Stamp", b"s")]
+                exchange.on_done(Response(status, headers, b""))
+
+        def nested():
+            if run:
+                self.mesh.send_nested(self.daemon, kind.calls, lambda ok: finish(ok))
+
+        def finish(ok):
+            if not ok:
+                end(500)
+            else:
+                self.mesh.time.call_later(work_ms / 2, end, 200)
+
+        if kind.calls and self.mesh.random.random() < kind.calls_share:
+            self.mesh.time.call_later(work_ms / 2, nested)
+        else:
+            self.mesh.time.call_later(work_ms, end, 200)
+
+        def abort():
+            if run:
+                run.clear()
+                self.running -= 1
+
+        return abort
+
+
+def call_id(data):
+    """Return the id in the encoded request `data`."""
+    return data.split(b"x-egret-attempt-id: ", 1)[1].split(b"\r\n", 1)[0].decode()
+
+
+class SimLink:
+    """Offer requests to another daemon's gate, knowing its load from outcomes and pings."""
+
+    def __init__(self, mesh, own, peer):
+        self.mesh, self.peer = mesh, peer
+        self.near = own.data_centre == peer.data_centre
+        self.delay_ms = NEAR_DELAY_MS if self.near else FAR_DELAY_MS
+        self.name = peer.id
+        self.in_flight = set()
+        self.offers = 0
+        self.report = GateReport(0, 0, 0.0)
+        self.load_of_others = 0
+        mesh.time.call_later(mesh.random.random() * PING_MS, self._ping)
+
+    def offer(self, offer, reply):
+        token = object()
+        self.in_flight.add(token)
+        self.offers += 1
+        handles = []
+
+        def arrive():
+            if token in self.in_flight:
+                handles.append(self.peer.gate.offer(offer, done))
+
+        def done(outcome):
+            self.mesh.time.call_later(self.delay_ms, arrived_back, outcome)
+
+        def arrived_back(outcome):
+            known = token in self.in_flight
+            self.in_flight.discard(token)
+            self._update(outcome.report)
+            if known:
+                reply(outcome)
+
+        def cancel():
+            self.in_flight.discard(token)
+            self.mesh.time.call_later(self.delay_ms, lambda: [h.cancel() for h in handles])
+
+        self.mesh.time.call_later(self.delay_ms, arrive)
+        return cancel
+
+    def estimate(self, now):
+        report = self.report
+        return TargetEstimate(
+            self.load_of_others + len(self.in_flight),
+            report.slots or self.peer.target.slots,
+            report.work_ms or 60.0,
+            report.failing_percent,
+            self.near,
+            False,
+            2 * self.delay_ms,
+        )
+
+    def _ping(self):
+        self.mesh.time.call_later(self.delay_ms, self._update, self.peer.gate.report())
+        self.mesh.time.call_later(PING_MS, self._ping)
+
+    def _update(self, report):
+        self.report = report
+        self.load_of_others = max(0, report.load - len(self.in_flight))
+
+
+class SimDaemon:
+    """A daemon with its gate, its forwarder, a link to each other one and a target."""
+
+    def __init__(self, mesh, number, data_centre, service, slots, slowness):
+        self.mesh, self.id, self.data_centre, self.service = (
+            mesh,
+            f"d{number}",
+            data_centre,
+            service,
+        )
+        self.target = SimTarget(mesh, self, service, slots, slowness)
+        calls = CallLog(FakeTimeline(), mesh.clock)
+        self.gate = Gate(
+            GateHost(
+                *(mesh.clock, mesh.edge, Metrics(), FakeTimeline(), calls),
+                lambda: 2_000.0,
+                lambda service: None,
+                lambda: None,
+                ByteBudget(1_000_000),
+            )
+        )
+        heartbeat = Heartbeat(
+            *(f"i{number}", 1, 1, service, Endpoint("10.0.0.1", number + 1), slots),
+            *(TargetState.READY, 0.0),
+        )
+        self.gate.apply_announcement(heartbeat)
+        self.gate._tracker.confirm(heartbeat.id)
+        self.gate._connections = self.target
+        self.links = []
+        self.forwarder = Forwarder(
+            ForwardHost(
+                *(mesh.clock, mesh.random, mesh.edge, Metrics(), calls, mesh),
+                self.destinations,
+                lambda: len(mesh.daemons),
+                lambda: service,
+                lambda: RetryBounds(0.2, 10_000, 60),
+            )
+        )
+        self.local = LocalDestination(self.gate, self.id)
+
+    @property
+    def row(self):
+        return DaemonRow(
+            *(self.id, self.data_centre, "10.0.0.1", 1, 1, 0),
+            target=self.gate.row(),
+        )
+
+    def destinations(self, service):
+        local = [self.local] if service == self.service else []
+        return local + [link for link in self.links if link.peer.service == service]
+
+
+class SimExchange:
+    """A request of a caller, as the forwarder gets it."""
+
+    def __init__(self, request, respond):
+        self.request, self.respond, self.on_disconnect = request, respond, None
--- a/tests/test_crest.py
+++ b/tests/test_crest.py
@@ -1,6 +1,7 @@
 """Test when refused callers return, at crests of the load that exceed the slots."""
 
-from loadsim import FULL_SLOWDOWN, Kind, Load, Mesh, sum_of
+from loadsim import Kind, Load, Mesh, sum_of
+from simdaemons import FULL_SLOWDOWN
 
 from egretworks import gatequeue
 
--- a/tests/test_overflow.py
+++ b/tests/test_overflow.py
@@ -3,7 +3,8 @@
 import math
 
 import pytest
-from loadsim import FULL_SLOWDOWN, Kind, Load, Mesh
+from loadsim import Kind, Load, Mesh
+from simdaemons import FULL_SLOWDOWN
 
 from egretworks import forwarding
 
