--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -10,6 +10,7 @@
 from linkpipes import Daemons, FakeTimeline, Pipe, make_host
 from mutations import mutated_bytes, mutated_json
 from platformwire import config_document, edge, heartbeat_body
+from sidecars import SETTINGS
 
 from egretworks.config import read_sidecar_settings
 from egretworks.configholder import ConfigHolder
@@ -178,28 +179,17 @@
         assert daemons.gate.offers
 
 
-SETTINGS_TEXT = b"""
-[instance]
-id = "n0"
-data_centre = "dc"
-host = "127.0.0.1"
-service = "portal"
-[listen]
-calls = "127.0.0.1:7001"
-ready = "127.0.0.1:7002"
-announcements = "127.0.0.1:7003"
-link_port = 7004
-metrics_port = 7005
-[platform]
-address = "127.0.0.1:7006"
-[bounds]
-memory_mb = 100
-drain_ms = 2000
-grace_ms = 6000
-retry_ratio = 0.2
-retry_window_ms = 10000
-retry_slack = 60
-"""
+SETTINGS_TEXT = SETTINGS.format(
+    id="n0",
+    data_centre="dc",
+    service="portal",
+    calls=7001,
+    ready=7002,
+    announcements=7003,
+    links=7004,
+    metrics=7005,
+    store=7006,
+).encode()
 
 
 @thorough
