--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -142,11 +142,11 @@
     return portal, ledger
 
 
-def send_request(sidecar):
+def send_request(sidecar, id="a"):
     sock = socket.create_connection(("127.0.0.1", sidecar.ports["calls"]), timeout=20)
     sock.sendall(
-        b"POST /give/x HTTP/1.1\r\nHost: pool.example\r\nX-Egret-Attempt-Id: a\r\n"
-        b"X-Egret-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n"
+        b"POST /give/x HTTP/1.1\r\nHost: pool.example\r\nX-Egret-Attempt-Id: %s\r\n"
+        b"X-Egret-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n" % id.encode()
     )
     return sock
 
@@ -179,3 +179,18 @@
             answer += data
     assert answer.startswith(b"HTTP/1.1 200")
     assert len(answer) > LARGE_ANSWER_BYTES
+
+
+# Guards against a second signal that ends the drain, or starts another one beside it.
+def test_a_second_signal_cuts_nothing_off(sidecars):
+    portal, ledger = large_answers(sidecars)
+    ledger.target.work_ms = 1_000
+    with send_request(portal) as running:
+        wait_for(lambda: ledger.target.runs, "the request to run")
+        portal.signal(signal.SIGTERM)
+        time.sleep(0.2)
+        with send_request(portal, "b") as accepted:
+            portal.signal(signal.SIGTERM)
+            assert len(read_all(running)) > LARGE_ANSWER_BYTES
+            assert len(read_all(accepted)) > LARGE_ANSWER_BYTES
+    assert portal.wait() == 0
