--- a/egretworks/reporting.py
+++ b/egretworks/reporting.py
@@ -2,24 +2,28 @@
 
 from __future__ import annotations
 
+import logging
+
 import eventlet
 import msgspec
 
 from egretworks.blackboard import Blackboard, Reported
 from egretworks.clock import seconds
 from egretworks.controllers import Links, controller
-from egretworks.exceptions import ObjectConflict, ObjectNotFound, PlatformError
+from egretworks.exceptions import ObjectNotFound, PlatformError
 from egretworks.membership import Outgoing
 from egretworks.messages import MemberRow, Report, target_label
 from egretworks.objects import ObjectStore, dump
 from egretworks.operatorpages import STATUS, CentreStatus, MemberStatus
-from egretworks.types import ETag, InstanceId, Version
+from egretworks.types import InstanceId, Version
 
 REPORT_EVERY_MS = 5_000
 WRITE_EVERY_MS = 1_000
 # The status lists at most this many daemons, those with the lowest versions first.
 MAX_LISTED_MEMBERS = 64
 
+log = logging.getLogger(__name__)
+
 
 def record_report(board: Blackboard, report: Report) -> None:
     """Record the report of a daemon of this data centre."""
@@ -59,7 +63,8 @@
         try:
             _overwrite_status(links.store, status)
             written = status
-        except PlatformError:
+        except PlatformError as error:
+            log.info("the status was not written: %s", error.message)
             written = None
 
 
@@ -108,17 +113,15 @@
     return msgspec.structs.replace(status, written_at_ms=written.written_at_ms) == written
 
 
-def _overwrite_status(store: ObjectStore, status: CentreStatus) -> ETag:
-    """Create or overwrite the stored status and return its tag, or "" if another update came first.
+def _overwrite_status(store: ObjectStore, status: CentreStatus) -> None:
+    """Create or overwrite the stored status, or raise `ObjectConflict` if another write came first.
 
-    That is no failure: two aggregators at the same time do no harm, as each writes the status of
-    the same data centre.
+    Two aggregators at the same time do no harm, as each writes the status of the same data centre;
+    but the one that is being replaced may have written what it knew before.
     """
     try:
         current = store.read(STATUS, status.data_centre)
     except ObjectNotFound:
-        return store.create(STATUS, status.data_centre, dump(status))
-    try:
-        return store.update(STATUS, status.data_centre, dump(status), current.etag)
-    except ObjectConflict:
-        return ETag("")
+        store.create(STATUS, status.data_centre, dump(status))
+        return
+    store.update(STATUS, status.data_centre, dump(status), current.etag)
