--- a/tests/test_meshretrybudget.py
+++ b/tests/test_meshretrybudget.py
@@ -51,3 +51,12 @@
         # This bound counts both windows.
         counted = sum(start - WINDOW_MS < at <= end for at in requests)
         assert spent <= 0.2 * counted + 20
+
+
+# Guards against a daemon that was paused and spends what requests of long ago had earned.
+def test_what_was_earned_before_a_long_pause_is_not_spent_after_it():
+    budget = MeshRetryBudget(lambda: RetryBounds(0.2, WINDOW_MS, 60))
+    for _ in range(1_000):
+        budget.count_request(0.0)
+    after_pause = 3 * WINDOW_MS
+    assert sum(budget.try_spend(10, after_pause) for _ in range(300)) <= 6
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from egretworks.gatequeue import GateQueue, QueueEntry
-from egretworks.ratelimit import MIN_PER_SECOND, RateLimit
+from egretworks.ratelimit import BURST_MS, MIN_PER_SECOND, RateLimit
 
 # What a target may get in a span of this length: one and a half times its limit, and 5 requests.
 SPAN_MS = 4_000.0
@@ -82,3 +82,12 @@
 def test_the_reported_slots_shrink_with_the_limit():
     assert make_queue(per_second=25.0).usable_slots == 3
     assert make_queue(per_second=None).usable_slots == 10
+
+
+# Guards against a daemon that was paused and sends at once what the limit allowed meanwhile.
+def test_a_pause_earns_no_more_than_a_burst():
+    limit = RateLimit()
+    limit.set_rate(20.0, 0.0)
+    after_pause = 10_000.0
+    passed = sum(limit.try_take(after_pause) for _ in range(300))
+    assert passed <= 20.0 * BURST_MS / 1_000
