Tell retries by service, reason and target

The counters could not tell the hypotheses of the incident apart: neither the service nor the reason of a retry was counted, nor which runs are retries. An offer now tells whether another target has received the request before (retry_share); the gate counts the retries that it runs and the share of them among the running requests; calls that are made meanwhile are counted by service. What the daemon does is unchanged.

--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -77,6 +77,8 @@
     # Returns the service of the local target, which is sent as the caller of all requests.
     own_service: Callable[[], ServiceName]
     retry_bounds: Callable[[], RetryBounds]
+    # Returns the share of retries among the requests that run at the local target.
+    running_retry_share: Callable[[], float]
 
 
 class Forwarder:
@@ -130,7 +132,9 @@
             )
         service = self.splitter.choose(route)
         now = host.clock.now()
-        self.budget(service).count_request(now)
+        budget = self.budget(service)
+        budget.count_request(now)
+        budget.calls_of_retries += host.running_retry_share()
         return _Call(self, exchange, head, route, service, now)
 
 
@@ -222,6 +226,7 @@
             objective_left_ms=round(self._objective_at - now, 1),
             priority=self._route.priority,
             idempotent=self._idempotent,
+            retry_share=1.0 if self._attempt_count else 0.0,
         )
 
     def _on_outcome(self, outcome: Outcome) -> None:
@@ -240,7 +245,7 @@
         if outcome.status >= 500 and self._idempotent:
             self._may_have_run = True
             self._failed_answer = outcome
-            if self._may_retry():
+            if self._may_retry("failed"):
                 self.offer_next()
                 return
         self._deliver(outcome)
@@ -249,7 +254,7 @@
         self._remember_busy(outcome)
         if outcome.reached_target:
             self._attempt_count += 1
-            retry = self._may_retry()
+            retry = self._may_retry("declined")
         else:
             retry = self._offers < MAX_OFFERS and not self._waited_late(outcome)
             retry = retry and bool(self._not_busy(self._untried()))
@@ -267,14 +272,17 @@
         self._attempt_count += 1
         self._may_have_run = True
         timed_out = outcome.reason is LossReason.TIMED_OUT
-        if self._idempotent and not timed_out and self._may_retry():
+        if self._idempotent and not timed_out and self._may_retry("lost"):
             self.offer_next()
             return
         error_class = AttemptTimeout if timed_out else OutcomeUnknown
         self._fail(error_class(f"the answer of the target was lost: {outcome.reason.name.lower()}"))
 
-    def _may_retry(self) -> bool:
-        """Return whether the request may be sent to another target; if so, spend retry budget."""
+    def _may_retry(self, ended: str) -> bool:
+        """Return whether the request may be sent to another target; if so, spend retry budget.
+
+        `ended` tells for the metrics how the attempt before has ended.
+        """
         now = self._host.clock.now()
         if self._attempt_count >= self._route.max_attempts or not self._untried():
             return False
@@ -282,6 +290,8 @@
             return False
         allowed = self._forwarder.budget(self._service).try_spend(self._host.daemons(), now)
         self._host.metrics.count("attempts_again" if allowed else "attempts_over_budget")
+        if allowed:
+            self._host.metrics.count(f"attempts_again_after_{ended}")
         return allowed
 
     def _untried(self) -> list[Destination]:
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -24,6 +24,7 @@
     Reply,
 )
 from egretworks.rows import TargetRow
+from egretworks.runningretries import RunningRetries
 from egretworks.streams import call_later
 from egretworks.targetconnections import Exchange, TargetConnections
 from egretworks.targettracker import TargetIncarnation, TargetTracker
@@ -65,6 +66,7 @@
         self.host = host
         self._tracker = TargetTracker(host.drain_ms)
         self.queue = GateQueue(0)
+        self.running_retries = RunningRetries()
         self._connections: TargetConnections | None = None
         self._pending_by_entry: dict[QueueEntry, PendingOffer] = {}
         self._failure_rate = 0.0
--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -61,6 +61,13 @@
     for service, budget in sorted(sources.forwarder.budget_by_service.items()):
         left = budget.left(sources.rows.size, now)
         yield Gauge("attempts_left", "attempts left in the retry budget", left, service)
+        yield Gauge("retries_made", "retries made since the start", budget.retries_made, service)
+        yield Gauge(
+            "calls_of_retries",
+            "calls that the local target has probably made while it ran retries, since the start",
+            budget.calls_of_retries,
+            service,
+        )
 
 
 def serving_targets(rows: RowTable) -> Counter[ServiceName]:
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -101,6 +101,9 @@
     idempotent: bool
     # When the frame was sent, by the sender's clock; None from an older build.
     sent_at: float | None = None
+    # Probability that the request is part of a retry: 1 if another target has received it already;
+    # see `RunningRetries` for calls of targets. 0 from an older build.
+    retry_share: float = 0.0
 
 
 class Answered(msgspec.Struct, array_like=True, frozen=True, tag=3):
--- a/egretworks/meshretrybudget.py
+++ b/egretworks/meshretrybudget.py
@@ -45,6 +45,10 @@
         """Use the limits that `bounds` returns at each call; they may change."""
         self._bounds = bounds
         self._buckets: deque[_Bucket] = deque()
+        # Since the start of the daemon: retries that it made, and calls that the local target has
+        # probably made while it ran retries.
+        self.retries_made = 0
+        self.calls_of_retries = 0.0
 
     def count_request(self, now: Millis) -> None:
         """Count a request from a caller; retries by the daemon are counted by `try_spend`."""
@@ -55,6 +59,7 @@
         if self.left(daemons, now) < 1:
             return False
         self._bucket(now).retries += 1
+        self.retries_made += 1
         return True
 
     def left(self, daemons: int, now: Millis) -> float:
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -86,6 +86,9 @@
         gate, offer = self._gate, self._offer
         self._queue = gate.queue
         self._started = self._host.clock.now()
+        gate.running_retries.start(offer.retry_share)
+        if offer.retry_share >= 1:
+            self._host.metrics.count("gate_retries_run")
         left_ms = max(1.0, self._entry.expires_at - self._started)
         head = TargetHead(
             CallId(offer.call), int(left_ms), ServiceName(offer.caller), self._incarnation.id
@@ -101,6 +104,7 @@
             waited_ms=round(waited_ms, 1),
             left_ms=round(left_ms, 1),
             running=gate.running,
+            retry_share=round(offer.retry_share, 2),
         )
         exchange = Exchange(
             offer.method, data, left_ms + ANSWER_GRACE_MS, self._is_own_answer, self._on_done
@@ -139,7 +143,7 @@
             return
         if self._offer.idempotent:
             self._abort()
-            self._gate.free_slot(self._queue)
+            self._free_slot()
 
     def _is_own_answer(self, response: Response) -> bool:
         # An answer without a request id may belong to another request.
@@ -155,9 +159,13 @@
             self._host.metrics.observe("target", took_ms)
         else:
             gate.record_result(failed=True)
-        gate.free_slot(self._queue)
+        self._free_slot()
         self._send_outcome(result)
 
+    def _free_slot(self) -> None:
+        self._gate.running_retries.end(self._offer.retry_share)
+        self._gate.free_slot(self._queue)
+
     def _outcome_of(self, outcome: Response | ExchangeFailure) -> Outcome:
         """Return what the exchange with the target proves: answered, not run or unknown."""
         gate, offer = self._gate, self._offer
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -175,6 +175,7 @@
             lambda: self._rows.size,
             lambda: ServiceName(self._settings.instance.service),
             self._retry_bounds,
+            lambda: self._gate.running_retries.share,
         )
 
     def _retry_bounds(self) -> RetryBounds:
--- a/tests/simdaemons.py
+++ b/tests/simdaemons.py
@@ -179,6 +179,7 @@
                 lambda: len(mesh.daemons),
                 lambda: service,
                 lambda: RetryBounds(0.2, 10_000, 60),
+                lambda: self.gate.running_retries.share,
             )
         )
         self.local = LocalDestination(self.gate, self.id)
