Test that calls in retries stay within the budget of the service called

A simulated mesh with real forwarders and gates, whose targets call another service; that one, or both, decline a share of all requests, as in the users' record.

Each daemon keeps to half of its part for the retries that it makes itself; the calls take the other half and more.

--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from bisect import bisect_left
 from collections import Counter, defaultdict
 
 import msgspec
@@ -35,9 +36,10 @@
     retries: int = 2
     idempotent: bool = True
     work_spread: float = 0.3
-    # A kind that a run of this one requests on its way, in this share of the runs.
+    # A kind that a run of this one requests on its way, in this share of the runs, one after another.
     calls: str = ""
     calls_share: float = 0.0
+    calls_times: int = 1
 
 
 class Load(msgspec.Struct):
@@ -70,6 +72,52 @@
     owed: float = 0.0
 
 
+class RetryRecord:
+    """Hold when requests for each service were sent, and when retries of them arrived.
+
+    A call that a target makes in a retry is itself a retry at the service called, also when it
+    arrives for the first time. It isn't counted as a request.
+    """
+
+    def __init__(self):
+        self.requests_by_service = defaultdict(list)
+        self.retries_by_service = defaultdict(list)
+        self._retried_ids = set()
+        self._arrived_ids = set()
+
+    def add_request(self, service, id, now, for_retry):
+        if for_retry:
+            self._retried_ids.add(id)
+        else:
+            self.requests_by_service[service].append(now)
+
+    def add_arrival(self, service, id, now):
+        """Count an arrival at a target, and return whether it is a retry."""
+        is_retry = id in self._arrived_ids or id in self._retried_ids
+        self._arrived_ids.add(id)
+        if is_retry:
+            self.retries_by_service[service].append(now)
+        return is_retry
+
+    def worst_excess(self, service, ratio, slack, window_ms):
+        """Return by how many retries the worst window exceeds `ratio` and `slack`.
+
+        The requests of a window, of the one before it or of the one half a window before it count,
+        whichever are most.
+        """
+        requests, retries = self.requests_by_service[service], self.retries_by_service[service]
+
+        def within(times, start):
+            return bisect_left(times, start + window_ms) - bisect_left(times, start)
+
+        worst = -slack
+        for start in retries:
+            starts = (start, start - window_ms / 2, start - window_ms)
+            allowed = ratio * max(within(requests, at) for at in starts) + slack
+            worst = max(worst, within(retries, start) - allowed)
+        return worst
+
+
 def sum_of(results):
     """Return the sum of `results`."""
     total = Result()
@@ -95,6 +143,7 @@
         self.kind_by_id = {}
         self.result_by_kind = defaultdict(Result)
         self.arrivals = Counter()
+        self.retry_record = RetryRecord()
         self._calls = 0
         self.config = MeshConfig(
             Version(1), (), {k.service: MeshService(k.service, "/h", 100) for k in kinds}
@@ -189,7 +238,8 @@
 
         self.time.call_later(CLIENT_DELAY_MS, self._send, daemon, kind, left_ms, answered)
 
-    def send_nested(self, daemon, name, done):
+    def send_nested(self, daemon, name, done, *, for_retry):
+        """Send a call of the target of `daemon`, which it makes in a retry or a first run."""
         kind = self.kinds[name]
         result = self.result_by_kind[name]
         result.asked += 1
@@ -201,12 +251,13 @@
             result.failed += not ok and response.status != 503
             done(ok)
 
-        self._send(daemon, kind, kind.deadline_ms, answered)
+        self._send(daemon, kind, kind.deadline_ms, answered, for_retry)
 
-    def _send(self, daemon, kind, left_ms, answered):
+    def _send(self, daemon, kind, left_ms, answered, for_retry=False):
         self._calls += 1
         id = f"c{self._calls}"
         self.kind_by_id[id] = kind.name
+        self.retry_record.add_request(kind.service, id, self.time.now, for_retry)
         headers = [
             (b"host", HOST.encode()),
             (b"x-egret-attempt-id", id.encode()),
--- a/tests/simdaemons.py
+++ b/tests/simdaemons.py
@@ -22,14 +22,20 @@
 PING_MS = 1_000
 # A target at which all slots are used is slower by this share.
 FULL_SLOWDOWN = 0.3
+# A target declines a request within this time.
+DECLINE_MS = 0.5
 
 
 class SimTarget:
-    """Run requests, each slower by the target's speed; one may call another service midway."""
+    """Run requests, each slower by the target's speed; one may call another service midway.
+
+    Of all requests, the share `declines` is declined without being run.
+    """
 
     def __init__(self, mesh, daemon, service, slots, slowness):
         self.mesh, self.daemon, self.service, self.slots = mesh, daemon, service, slots
         self.slowness = slowness
+        self.declines = 0.0
         self.running = 0
         self.busy_ms = 0.0
         self.runs = Counter()
@@ -38,9 +44,13 @@
         run = [exchange]
         id = call_id(exchange.data)
         kind = self.mesh.kinds[self.mesh.kind_by_id[id]]
+        self.mesh.arrivals[self] += 1
+        record = self.mesh.retry_record
+        is_retry = record.add_arrival(self.service, id, self.mesh.time.now)
+        if self.declines and self.mesh.random.random() < self.declines:
+            return self._decline(exchange, id)
         self.runs[id] += 1
         self.running += 1
-        self.mesh.arrivals[self] += 1
         usage = self.running / self.slots
         work_ms = kind.work_ms * self.slowness * (1 + FULL_SLOWDOWN * usage * usage)
         work_ms *= self.mesh.random.lognormvariate(0, kind.work_spread)
@@ -53,18 +63,20 @@
                 headers = [(b"X-Egret-Attempt-Id", id.encode()), (b"X-Egret-Stamp", b"s")]
                 exchange.on_done(Response(status, headers, b""))
 
-        def nested():
-            if run:
-                self.mesh.send_nested(self.daemon, kind.calls, lambda ok: finish(ok))
+        def nested(calls_left):
+            def finish(ok):
+                if not ok:
+                    end(500)
+                elif calls_left > 1:
+                    nested(calls_left - 1)
+                else:
+                    self.mesh.time.call_later(work_ms / 2, end, 200)
 
-        def finish(ok):
-            if not ok:
-                end(500)
-            else:
-                self.mesh.time.call_later(work_ms / 2, end, 200)
+            if run:
+                self.mesh.send_nested(self.daemon, kind.calls, finish, for_retry=is_retry)
 
         if kind.calls and self.mesh.random.random() < kind.calls_share:
-            self.mesh.time.call_later(work_ms / 2, nested)
+            self.mesh.time.call_later(work_ms / 2, nested, kind.calls_times)
         else:
             self.mesh.time.call_later(work_ms, end, 200)
 
@@ -75,6 +87,12 @@
 
         return abort
 
+    def _decline(self, exchange, id):
+        headers = [(b"X-Egret-Attempt-Id", id.encode()), (b"X-Egret-Not-Run", b"1")]
+        answer = [Response(503, headers, b"")]
+        self.mesh.time.call_later(DECLINE_MS, lambda: answer and exchange.on_done(answer.pop()))
+        return answer.clear
+
 
 def call_id(data):
     """Return the id in the encoded request `data`."""
--- /dev/null
+++ b/tests/test_retry_layers.py
@@ -0,0 +1,65 @@
+"""Test that retries stay within the budget where the targets of one service call another one."""
+
+import msgspec
+import pytest
+from loadsim import Kind, Load, Mesh
+
+RATIO, SLACK, WINDOW_MS = 0.2, 60, 10_000
+KINDS = (
+    Kind("lookup", "register", 50, 200, 1_200, retries=2, calls="free", calls_share=0.7),
+    Kind("book", "planning", 65, 250, 1_500, 2, 0.6, idempotent=False),
+    Kind("free", "planning", 15, 60, 200, 0, 0, 0, 0),
+)
+DATA_CENTRES = ("north", "west", "south")
+SLOTS = 9
+SEEDS = (1, 2, 3)
+
+
+def build_mesh(monkeypatch, seed, calls_times):
+    """Return a mesh of two services; targets of `register` call those of `planning`."""
+    lookup, *others = KINDS
+    lookup = msgspec.structs.replace(lookup, calls_times=calls_times)
+    mesh = Mesh(monkeypatch, (lookup, *others), seed)
+    for data_centre in DATA_CENTRES:
+        for _ in range(2):
+            mesh.add(data_centre, "register", SLOTS)
+            mesh.add(data_centre, "planning", SLOTS)
+    mesh.link_all()
+    for data_centre in DATA_CENTRES:
+        mesh.apply(Load("lookup", data_centre, 120))
+        mesh.apply(Load("book", data_centre, 15))
+    return mesh
+
+
+def decline(mesh, service, share):
+    """Let the targets of `service` decline the share `share` of all requests."""
+    for daemon in mesh.daemons:
+        if daemon.service == service:
+            daemon.target.declines = share
+
+
+# Guards against retries of one service that cause calls to another, beyond that one's budget: each
+# call that is declined fails its lookup, and the lookup's second run calls again.
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("calls_times", (1, 2))
+def test_calls_of_retried_requests_stay_within_the_budget_of_the_service_called(
+    monkeypatch, seed, calls_times
+):
+    mesh = build_mesh(monkeypatch, seed, calls_times)
+    mesh.time.run_for(2_000)
+    decline(mesh, "planning", 0.55)
+    mesh.time.run_for(WINDOW_MS + 2_000)
+    for service in ("planning", "register"):
+        assert mesh.retry_record.worst_excess(service, RATIO, SLACK, WINDOW_MS) <= 0
+
+
+# Guards against the same where the requests themselves are declined, and their retries call on.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_retries_of_declined_requests_keep_their_calls_within_the_budget(monkeypatch, seed):
+    mesh = build_mesh(monkeypatch, seed, 2)
+    mesh.time.run_for(2_000)
+    decline(mesh, "register", 0.55)
+    decline(mesh, "planning", 0.3)
+    mesh.time.run_for(WINDOW_MS + 2_000)
+    for service in ("planning", "register"):
+        assert mesh.retry_record.worst_excess(service, RATIO, SLACK, WINDOW_MS) <= 0
