Keep calls that are made in retries within the retry budget

Cause: retries at two layers. A request whose call was declined fails and is run again within the budget of its own service; the calls of its second run are further arrivals at the service called, where nothing counted them. Each daemon kept to half of its part for its own retries, and the calls took the other half and more. Ruled out there: starts, and arrivals without budget.

Now a request from a target's machine is attributed to the running requests that expire no earlier, since a call expires with its parent; by the share of retries among them it costs tokens, and a gate refuses a retry whose usual calls exceed the tokens. A daemon that starts again begins without tokens (first_start).

--- a/egretworks/config.py
+++ b/egretworks/config.py
@@ -152,6 +152,10 @@
     data_centre: Annotated[Name, Meta(description="Data centre in which the instance runs.")]
     host: Annotated[str, Meta(description="IP address at which others reach this instance.")]
     service: Annotated[str, Meta(description="Service of the target beside this daemon.")] = ""
+    first_start: Annotated[
+        bool,
+        Meta(description="False if the daemon may have run before, and spent retry budget."),
+    ] = True
 
 
 class ListenSettings(Section):
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -36,6 +36,7 @@
 from egretworks.metrics import Metrics
 from egretworks.pendingoffer import CancelCallback
 from egretworks.refusals import RecentRefusals, refusal_response, retry_after_ms
+from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
 from egretworks.targetselection import TargetEstimate, select_target
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
@@ -77,8 +78,10 @@
     # Returns the service of the local target, which is sent as the caller of all requests.
     own_service: Callable[[], ServiceName]
     retry_bounds: Callable[[], RetryBounds]
-    # Returns the share of retries among the requests that run at the local target.
-    running_retry_share: Callable[[], float]
+    # Since when this daemon has certainly spent no retry budget, also in earlier runs.
+    unspent_since: Millis
+    # Holds the requests that run at the local target.
+    running_requests: RunningRequests
 
 
 class Forwarder:
@@ -117,9 +120,18 @@
         """Return the retry budget of `service`."""
         budget = self.budget_by_service.get(service)
         if budget is None:
-            budget = self.budget_by_service[service] = MeshRetryBudget(self.host.retry_bounds)
+            budget = MeshRetryBudget(self.host.retry_bounds, self.host.unspent_since)
+            self.budget_by_service[service] = budget
         return budget
 
+    def allows_calls(self, calls_by_service: Mapping[ServiceName, float]) -> bool:
+        """Return whether the retry budgets allow the calls that local retries may make."""
+        now, daemons = self.host.clock.now(), self.host.daemons()
+        return all(
+            self.budget(service).allows_calls(calls, daemons, now)
+            for service, calls in calls_by_service.items()
+        )
+
     def _begin(self, exchange: HttpExchange, head: CallHead) -> _Call:
         host = self.host
         request = exchange.request
@@ -132,10 +144,10 @@
             )
         service = self.splitter.choose(route)
         now = host.clock.now()
-        budget = self.budget(service)
-        budget.count_request(now)
-        budget.calls_of_retries += host.running_retry_share()
-        return _Call(self, exchange, head, route, service, now)
+        left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
+        retry_share = host.running_requests.attribute(service, Millis(now + left_ms))
+        self.budget(service).count_request(now, retry_share)
+        return _Call(self, exchange, head, route, service, now, retry_share)
 
 
 class _Call:
@@ -152,6 +164,7 @@
         route: MeshRoute,
         service: ServiceName,
         now: Millis,
+        retry_share: float,
     ) -> None:
         self._forwarder = forwarder
         self._host = forwarder.host
@@ -169,6 +182,8 @@
         self._headers = self._host.edge.forwarded_headers(exchange.request)
         self._tried: list[Destination] = []
         self._offers = 0
+        # Probability that the local target makes this request in a retry.
+        self._retry_share = retry_share
         # How many targets have received the request, as far as is known.
         self._attempt_count = 0
         self._may_have_run = False
@@ -226,7 +241,7 @@
             objective_left_ms=round(self._objective_at - now, 1),
             priority=self._route.priority,
             idempotent=self._idempotent,
-            retry_share=1.0 if self._attempt_count else 0.0,
+            retry_share=1.0 if self._attempt_count else self._retry_share,
         )
 
     def _on_outcome(self, outcome: Outcome) -> None:
@@ -257,6 +272,7 @@
             retry = self._may_retry("declined")
         else:
             retry = self._offers < MAX_OFFERS and not self._waited_late(outcome)
+            retry = retry and outcome.reason is not RefusalReason.RETRY_BUDGET
             retry = retry and bool(self._not_busy(self._untried()))
         if retry:
             self.offer_next()
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -24,12 +24,12 @@
     Reply,
 )
 from egretworks.rows import TargetRow
-from egretworks.runningretries import RunningRetries
+from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
 from egretworks.targetconnections import Exchange, TargetConnections
 from egretworks.targettracker import TargetIncarnation, TargetTracker
 from egretworks.timeline import Timeline
-from egretworks.types import ServiceName
+from egretworks.types import RouteName, ServiceName
 
 # Interval at which waiting requests are checked for expiry and for free slots.
 SWEEP_INTERVAL_MS = 25
@@ -53,6 +53,8 @@
     on_change: Callable[[], None]
     # Counts the body bytes of answers that are still arriving.
     answer_budget: ByteBudget
+    # Returns whether the retry budgets allow the calls that retries are expected to make.
+    allows_calls: Callable[[Mapping[ServiceName, float]], bool]
 
 
 class Gate:
@@ -66,7 +68,7 @@
         self.host = host
         self._tracker = TargetTracker(host.drain_ms)
         self.queue = GateQueue(0)
-        self.running_retries = RunningRetries()
+        self.running_requests = RunningRequests()
         self._connections: TargetConnections | None = None
         self._pending_by_entry: dict[QueueEntry, PendingOffer] = {}
         self._failure_rate = 0.0
@@ -152,6 +154,9 @@
         ):
             reply(self.refusal(offer, RefusalReason.NOT_SERVING, NOT_SERVING_RETRY_AFTER_MS))
             return RefusedOffer()
+        if not self.allows_retry(offer):
+            reply(self.refusal(offer, RefusalReason.RETRY_BUDGET, 0.0))
+            return RefusedOffer()
         entry = QueueEntry(
             offer.route,
             offer.priority,
@@ -171,6 +176,13 @@
             return RefusedOffer()
         return pending
 
+    def allows_retry(self, offer: Offer) -> bool:
+        """Return whether `offer` is no retry, or the calls that it may make are within budget."""
+        if offer.retry_share < 1:
+            return True
+        expected = self.running_requests.expected_calls(RouteName(offer.route))
+        return self.host.allows_calls(expected)
+
     def refusal(
         self,
         offer: Offer,
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -34,6 +34,8 @@
     DECLINED = 5
     # The link broke before the request was received or while it was queued.
     CANCELLED = 6
+    # It is a retry, and the calls that the target would make in it exceed the retry budget.
+    RETRY_BUDGET = 7
 
 
 class LossReason(IntEnum):
@@ -102,7 +104,7 @@
     # When the frame was sent, by the sender's clock; None from an older build.
     sent_at: float | None = None
     # Probability that the request is part of a retry: 1 if another target has received it already;
-    # see `RunningRetries` for calls of targets. 0 from an older build.
+    # see `RunningRequests` for calls of targets. 0 from an older build.
     retry_share: float = 0.0
 
 
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -17,9 +17,10 @@
     Outcome,
     RefusalReason,
 )
+from egretworks.runningrequests import RunningRequest
 from egretworks.targetconnections import Exchange, ExchangeFailure
 from egretworks.targettracker import TargetIncarnation
-from egretworks.types import CallId, ServiceName
+from egretworks.types import CallId, RouteName, ServiceName
 
 if TYPE_CHECKING:
     from egretworks.gate import Gate
@@ -60,7 +61,7 @@
     """Hold one offer from its arrival at the gate to its outcome.
 
     `_reply` is None once the outcome has been sent or the offer was cancelled or withdrawn.
-    `_abort` is set once the exchange with the target has started.
+    `_abort` and `_running` are set once the exchange with the target has started.
     """
 
     def __init__(
@@ -80,13 +81,21 @@
         self._queue: GateQueue | None = None
         self._started = Millis(0)
         self._abort: CancelCallback | None = None
+        self._running: RunningRequest | None = None
 
     def run(self) -> None:
         """Send the request to the target."""
         gate, offer = self._gate, self._offer
         self._queue = gate.queue
         self._started = self._host.clock.now()
-        gate.running_retries.start(offer.retry_share)
+        if not gate.allows_retry(offer):
+            gate.free_slot(gate.queue)
+            self.refuse(RefusalReason.RETRY_BUDGET, 0.0)
+            return
+        self._running = RunningRequest(
+            RouteName(offer.route), self._entry.expires_at, offer.retry_share
+        )
+        gate.running_requests.start(self._running)
         if offer.retry_share >= 1:
             self._host.metrics.count("gate_retries_run")
         left_ms = max(1.0, self._entry.expires_at - self._started)
@@ -163,7 +172,7 @@
         self._send_outcome(result)
 
     def _free_slot(self) -> None:
-        self._gate.running_retries.end(self._offer.retry_share)
+        self._gate.running_requests.end(self._running)
         self._gate.free_slot(self._queue)
 
     def _outcome_of(self, outcome: Response | ExchangeFailure) -> Outcome:
--- a/egretworks/settingsreload.py
+++ b/egretworks/settingsreload.py
@@ -69,8 +69,10 @@
 def needs_restart(before: SidecarSettings, after: SidecarSettings) -> list[str]:
     """Return the names of the changed settings that take effect only after a restart."""
     names = []
-    # `service` is the only setting of the instance that can change at run time.
-    instance = msgspec.structs.replace(after.instance, service=before.instance.service)
+    # `service` can change at run time; `first_start` is true until the daemon's next start only.
+    instance = msgspec.structs.replace(
+        after.instance, service=before.instance.service, first_start=before.instance.first_start
+    )
     if instance != before.instance:
         names.append("instance")
     if after.listen != before.listen:
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -106,6 +106,7 @@
                 self._config.health_path,
                 self._on_target_changed,
                 ByteBudget(int(memory_bytes * ANSWER_MEMORY_FRACTION)),
+                lambda calls: self._forwarder.allows_calls(calls),
             )
         )
         self._body_budget = ByteBudget(int(memory_bytes * BODY_MEMORY_FRACTION))
@@ -175,9 +176,15 @@
             lambda: self._rows.size,
             lambda: ServiceName(self._settings.instance.service),
             self._retry_bounds,
-            lambda: self._gate.running_retries.share,
+            self._unspent_since(),
+            self._gate.running_requests,
         )
 
+    def _unspent_since(self) -> Millis:
+        settings, now = self._settings, self._clock.now()
+        first_start = settings.instance.first_start
+        return Millis(now - settings.bounds.retry_window_ms) if first_start else now
+
     def _retry_bounds(self) -> RetryBounds:
         bounds = self._settings.bounds
         return RetryBounds(bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack)
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -36,7 +36,7 @@
     retries: int = 2
     idempotent: bool = True
     work_spread: float = 0.3
-    # A kind that a run of this one requests on its way, in this share of the runs, one after another.
+    # A kind that this share of the runs of this one requests on their way, one request at a time.
     calls: str = ""
     calls_share: float = 0.0
     calls_times: int = 1
