Log when the platform's store comes back from a copy

Nothing read the header Store-Era, so a restore looked like an outage. The client keeps the highest era that any answer names, errors included, and the watch of the configuration logs store_restored with the era and its last revision. The stand-in of the platform can go back to a saved state.

--- a/egretworks/storehttp.py
+++ b/egretworks/storehttp.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+
 import urllib3
 
 from egretworks.clock import seconds
@@ -28,7 +30,11 @@
 class StoreHttpClient:
     """Send requests to the store at `endpoint`, over a pool of connections."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(
+        self, endpoint: Endpoint, on_headers: Callable[[Mapping[str, str]], None] | None = None
+    ) -> None:
+        """Pass the headers of each response, also of an error, to `on_headers`."""
+        self._on_headers = on_headers
         # No automatic retries: only the caller knows whether a request may be repeated.
         self._pool = urllib3.HTTPConnectionPool(
             endpoint.host, endpoint.port, maxsize=MAX_IDLE_CONNECTIONS, block=False, retries=False
@@ -58,6 +64,8 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailable(f"{method} {path}: {error}") from error
+        if self._on_headers is not None:
+            self._on_headers(response.headers)
         if response.status < 300:
             return response
         kind = PlatformUnavailable if response.status >= 500 else PlatformError
--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -60,6 +60,10 @@
     Methods raise subclasses of `PlatformError` on failure.
     """
 
+    # The highest era that any answer has named, errors included; 0 if none has. It rises each time
+    # that the store comes back from a copy, and then gives later revisions out again.
+    era: int
+
     def list(self, kind: str, *, allow_stale: bool = False) -> Snapshot:
         """Return all objects of `kind`; with `allow_stale`, possibly as of some seconds ago."""
 
@@ -102,6 +106,7 @@
         self._timeline = timeline
         self._random = random
         self._revision: int | None = None
+        self._era = 0
         self._initial_read_done = False
         self._reachable = True
 
@@ -116,6 +121,7 @@
                 eventlet.sleep(seconds(ELECTION_POLL_MS))
                 continue
             try:
+                self._note_era()
                 self._poll()
                 self._initial_read_done = True
                 self._set_reachable(reachable=True)
@@ -128,6 +134,13 @@
                 eventlet.sleep(seconds(pause_ms * (1 + self._random.random())))
                 pause_ms = min(MAX_RETRY_MS, pause_ms * 2)
 
+    def _note_era(self) -> None:
+        era = self._store.era
+        if self._era and era != self._era:
+            facts = {"era": era, "revision": self._revision}
+            self._timeline.record("store_restored", facts=facts)
+        self._era = era
+
     def _poll(self) -> None:
         if self._revision is None:
             snapshot = self._store.list(CONFIG_KIND)
--- a/examples/standins/platform.py
+++ b/examples/standins/platform.py
@@ -6,7 +6,8 @@
 `python -m standins.platform PORT` serves it on loopback. `GET /admin/counts` returns the reads,
 writes and watches so far. `PUT /admin/faults` sets delays, outages, hangs (`silent`), lost answers
 and stale reads (of /v1 only). `PUT /admin/save` saves the state that stale reads show, and
-`PUT /admin/compact` drops the history.
+`PUT /admin/compact` drops the history. `PUT /admin/restore` goes back to the saved state, whose
+later revisions are then given out again; the header `Store-Era` of /objects rises by one.
 """
 
 from __future__ import annotations
@@ -49,6 +50,7 @@
         self.faults = {"delay_ms": 0, "outage": False, "lose_answers": 0, "stale": False}
         self.faults["silent"] = False
         self.saved_state = ({}, [], 0)
+        self.era = 1
 
     def __call__(self, environ, start_response):
         method = environ["REQUEST_METHOD"]
@@ -63,7 +65,7 @@
         if self.faults["silent"]:
             eventlet.sleep(3_600)
         if parts[0] == "objects":
-            return self.users_api(environ, start_response, method, parts[1:], query)
+            return self.users_api(environ, self.with_era(start_response), method, parts[1:], query)
         if parts[1] == "watch":
             return self.watch(start_response, parts[2], query)
         if len(parts) == 3:
@@ -83,8 +85,19 @@
         if page == "compact":
             self.compacted, self.history = self.position, []
             return reply(start_response, "200 OK", b"{}")
+        if page == "restore":
+            objects, history, self.position = self.saved_state
+            self.objects, self.history = dict(objects), list(history)
+            self.era += 1
+            return reply(start_response, "200 OK", b"{}")
         return reply(start_response, "200 OK", json.dumps(self.counts).encode())
 
+    def with_era(self, start_response):
+        """Return `start_response` with the era among the headers."""
+        return lambda status, headers: start_response(
+            status, [*headers, ("Store-Era", str(self.era))]
+        )
+
     def visible_state(self):
         """Return objects, history and position that reads see: the saved ones if they are stale."""
         return (
@@ -198,9 +211,12 @@
         self.counts["watches"] += 1
         after = int(query["watch"])
         deadline = time.monotonic() + int(query.get("waitMs", 30_000)) / 1000
-        if after < self.compacted:
+        if after < self.compacted or after > self.position:
             return reply(start_response, "410 Gone")
+        era = self.era
         while True:
+            if era != self.era:
+                return reply(start_response, "503 Service Unavailable")
             events = [
                 {"object": users_view(name, position, value), "deleted": False}
                 for position, written_kind, name, value in self.history
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -130,6 +130,14 @@
         """Set the given faults; the others stay as they are."""
         return ask_json(self.port, "/admin/faults", "PUT", json.dumps(faults))
 
+    def save(self):
+        """Save the state to which `restore` goes back."""
+        ask_json(self.port, "/admin/save", "PUT")
+
+    def restore(self):
+        """Go back to the saved state, as a store that is restored from a copy."""
+        ask_json(self.port, "/admin/restore", "PUT")
+
     def counts(self):
         """Return the numbers of reads, writes and watches served so far."""
         return ask_json(self.port, "/admin/counts")
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -20,6 +20,8 @@
 class FaultyStore:
     """Raise an unexpected error for the first calls."""
 
+    era = 0
+
     def __init__(self, failures):
         self.failures = failures
 
@@ -74,6 +76,8 @@
 class CountingStore:
     """Keep rows and record the calls."""
 
+    era = 0
+
     def __init__(self, rows=()):
         self.documents_by_name = {row.id: encode_row(row) for row in rows}
         self.calls = []
