List the configuration again after the store came back from a copy

What callers would see: a route that the operator has added is not served. Cause: a watch from a revision that the store has given out again gets no 410 and misses what stands at lower revisions now. A watch that hears of another era lists once.

--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -135,15 +135,21 @@
                 pause_ms = min(MAX_RETRY_MS, pause_ms * 2)
 
     def _note_era(self) -> None:
+        """Forget the last revision if the store has come back from a copy since it was read.
+
+        The store may give that revision out again, so that a watch from there would miss changes.
+        """
         era = self._store.era
         if self._era and era != self._era:
             facts = {"era": era, "revision": self._revision}
             self._timeline.record("store_restored", facts=facts)
+            self._revision = None
         self._era = era
 
     def _poll(self) -> None:
         if self._revision is None:
             snapshot = self._store.list(CONFIG_KIND)
+            self._era = self._era or self._store.era
         else:
             wait_ms = LONG_POLL_MS if self._reachable else 0
             snapshot = self._store.watch(CONFIG_KIND, self._revision, wait_ms)
--- a/tests/platformwire.py
+++ b/tests/platformwire.py
@@ -4,6 +4,8 @@
 import sys
 from pathlib import Path
 
+from egretworks.types import Endpoint
+
 ADAPTER = Path(__file__).parent.parent / "platform"
 # Last on the path, as when the daemon runs.
 sys.path.append(str(ADAPTER))
@@ -29,6 +31,13 @@
     return PlatformEdge()
 
 
+def platform_store():
+    """Return the adapter's `PlatformStore`, whose address leads nowhere."""
+    from objectstore import PlatformStore
+
+    return PlatformStore(Endpoint("127.0.0.1", 1))
+
+
 def config_document(version, routes=None, services=("ledger", "portal")):
     """Return a configuration document in the platform's format."""
     rows = routes or [
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from linkpipes import Daemons, FakeTimeline, Pipe, make_host
 from mutations import mutated_bytes, mutated_json
-from platformwire import config_document, edge, heartbeat_body
+from platformwire import config_document, edge, heartbeat_body, platform_store
 from sidecars import SETTINGS
 
 from egretworks.config import read_sidecar_settings
@@ -216,12 +216,9 @@
 @thorough
 @given(mutated_json(STORE_PAGE) | mutated_bytes(STORE_PAGE))
 def test_a_malformed_answer_of_the_store_counts_as_a_failure_of_the_store(document):
-    from objectstore import PlatformStore
-
     from egretworks.exceptions import PlatformUnavailable
-    from egretworks.types import Endpoint
 
-    store = PlatformStore(Endpoint("127.0.0.1", 1))
+    store = platform_store()
     store._call = lambda *arguments: document
     for read in (lambda: store.watch("config", 1, 0), lambda: store.read("config", "main")):
         with contextlib.suppress(PlatformUnavailable):
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -5,10 +5,12 @@
 import eventlet
 import pytest
 from hubtools import run_hub, run_hub_for
+from platformwire import platform_store
+from urllib3 import HTTPResponse
 
 from egretworks import storesync
 from egretworks.clock import SystemClock
-from egretworks.exceptions import ObjectConflict
+from egretworks.exceptions import ObjectConflict, PlatformUnavailable
 from egretworks.rows import DaemonRow
 from egretworks.storesync import ConfigWatch, PeerDiscovery, Snapshot, Stored, encode_row
 from egretworks.timeline import Timeline
@@ -152,3 +154,39 @@
     store.documents_by_name.clear()
     run_hub(lambda: store.documents_by_name)
     thread.kill()
+
+
+def store_answering(*eras):
+    """Return a client of a store whose answers name `eras` in turn, the last one an error's."""
+    store = platform_store()
+    answers = [
+        HTTPResponse(
+            body=b'{"atRev": 1}',
+            headers={} if era is None else {"Store-Era": era},
+            status=200 if number < len(eras) - 1 else 503,
+        )
+        for number, era in enumerate(eras)
+    ]
+    store._http._pool.request = lambda *_, **__: answers.pop(0)
+    for _ in eras[:-1]:
+        store.list("config")
+    with pytest.raises(PlatformUnavailable):
+        store.list("config")
+    return store
+
+
+@pytest.mark.parametrize(
+    ("eras", "highest"),
+    (
+        (("1", "2"), 2),
+        (("3", "2"), 3),
+        ((None, None), 0),
+        (("4", None), 4),
+        (("2", "-1"), 2),
+        (("2", "x"), 2),
+        (("2", "9" * 400), 2),
+        (("2", "³"), 2),
+    ),
+)
+def test_the_era_of_the_store_is_the_highest_that_any_answer_names(eras, highest):
+    assert store_answering(*eras).era == highest
