Count a deeply nested value as malformed input

Reported by other operators: one deeply nested entry, left by another writer, and daemons end or stop following the list. Here it could stop them: msgspec raises RecursionError for it, which is no MsgspecError. One such object among the rows made each list fail, so that a daemon neither registered nor found others; a nested configuration made the store look unreachable; a nested heartbeat or frame ended its connection as an unexpected error.

--- a/egretworks/announcing.py
+++ b/egretworks/announcing.py
@@ -12,6 +12,7 @@
 from egretworks.clock import Millis, seconds
 from egretworks.config import Port
 from egretworks.controllers import Links, controller
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import BadRequest
 from egretworks.messages import TargetRow
 from egretworks.resources import Name
@@ -39,7 +40,7 @@
     """Return the announcement in `data`, or raise `BadRequest`."""
     try:
         return msgspec.json.decode(data, type=Announcement)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise BadRequest(f"the announcement can't be read: {error}") from error
 
 
--- a/egretworks/configdelta.py
+++ b/egretworks/configdelta.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import PeerError
 
 # A document is compared piece by piece, and a piece ends with this byte: rows of a table do, so
@@ -63,7 +64,7 @@
     try:
         decompressor = zlib.decompressobj()
         edits = _decoder.decode(decompressor.decompress(data, MAX_DOCUMENT_BYTES))
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise PeerError(f"cannot decode the changes of a configuration: {error}") from error
     pieces: list[bytes] = []
     for edit in edits:
--- a/egretworks/delivery.py
+++ b/egretworks/delivery.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import ChangeRefused, PeerError, TicketError
 from egretworks.messages import MemberRow, SyncReply, compress, decompress
 from egretworks.rendezvous import rendezvous
@@ -105,7 +106,7 @@
             return OfferResult.OLD
         try:
             change = msgspec.json.decode(value, type=Change)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (*DECODE_ERRORS, ValueError) as error:
             return self.refuse(version, TicketNumber(0), str(error))
         return self.offer(change)
 
--- a/egretworks/explain.py
+++ b/egretworks/explain.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import CallNotLogged
 from egretworks.timeline import Event, merge
 
@@ -58,7 +59,7 @@
             continue
         try:
             event = decoder.decode(line[start:].encode()).event
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             # A line of another program, or a truncated one.
             continue
         if event is not None:
--- a/egretworks/fleet.py
+++ b/egretworks/fleet.py
@@ -9,6 +9,7 @@
 import msgspec
 import urllib3
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import FleetUnreachable
 from egretworks.operatorpages import DaemonStatus, FleetMember, FleetPage
 from egretworks.timeline import Event, EventPage
@@ -70,7 +71,7 @@
             if response.status != 200:
                 return Unanswered(address, f"GET {path}: status {response.status}")
             return msgspec.json.decode(response.data, type=kind)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except (urllib3.exceptions.HTTPError, *DECODE_ERRORS) as error:
             return Unanswered(address, str(error))
 
     def _fetch_all(self, addresses: Iterable[str], path: str, kind: type[Page]) -> list:
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import PeerError
 from egretworks.httpwire import Headers
 from egretworks.rows import DaemonRow
@@ -268,5 +269,5 @@
     def _decode(self, start: int, end: int) -> Frame:
         try:
             return _decoder.decode(bytes(memoryview(self._buffer)[start:end]))
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise PeerError(f"cannot decode frame: {error}") from error
--- a/egretworks/messages.py
+++ b/egretworks/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import PeerError
 from egretworks.types import MemberState, TargetState
 
@@ -154,7 +155,7 @@
     """Decompress and decode a `kind` that `compress` encoded, or raise `PeerError`."""
     try:
         return msgspec.msgpack.decode(zlib.decompress(data), type=kind)
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (*DECODE_ERRORS, zlib.error) as error:
         raise PeerError(f"compressed data ({len(data)} bytes) can't be decoded: {error}") from error
 
 
@@ -162,5 +163,5 @@
     """Decode a datagram, or raise `PeerError`."""
     try:
         return _datagram_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise PeerError(f"a datagram ({len(data)} bytes) can't be decoded: {error}") from error
--- a/egretworks/objects.py
+++ b/egretworks/objects.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import PlatformError, PlatformUnavailable
 from egretworks.storehttp import StoreHttpClient
 from egretworks.types import ETag, parse_endpoint
@@ -134,7 +135,7 @@
     def _decode(self, data: bytes, kind: type) -> msgspec.Struct:
         try:
             return msgspec.json.decode(data, type=kind)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise PlatformUnavailable(
                 f"cannot decode the answer as {kind.__name__}: {error}"
             ) from error
@@ -153,5 +154,5 @@
     """Decode an object's JSON value as `kind`, or raise `PlatformError`."""
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.MsgspecError, json.JSONDecodeError) as error:
+    except (*DECODE_ERRORS, json.JSONDecodeError) as error:
         raise PlatformError(f"cannot decode an object as {kind.__name__}: {error}") from error
--- a/egretworks/peers.py
+++ b/egretworks/peers.py
@@ -15,6 +15,7 @@
 from grpclib.server import Server, Stream
 
 from egretworks.clock import seconds
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import EgretError, PeerError, PeerRefused
 from egretworks.types import Address
 
@@ -153,7 +154,7 @@
             TimeoutError,
             ProtocolError,
             StreamTerminatedError,
-            msgspec.MsgspecError,
+            *DECODE_ERRORS,
         ) as error:
             self._close_channel(address)
             raise PeerError(
--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from egretworks.clock import seconds
+from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import (
     ObjectConflict,
     PlatformError,
@@ -318,5 +319,5 @@
     """Return the row in `document`, or None if another writer stored something else."""
     try:
         return msgspec.json.decode(document, type=_RowDocument).row
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -14,8 +14,14 @@
 
 from egretworks.config import read_sidecar_settings
 from egretworks.configholder import ConfigHolder
-from egretworks.exceptions import BadRequest, CallError, ConfigInvalid, SettingsError
-from egretworks.httpwire import RequestReader, encode_request
+from egretworks.exceptions import (
+    BadRequest,
+    CallError,
+    ConfigInvalid,
+    PeerError,
+    SettingsError,
+)
+from egretworks.httpwire import Request, RequestReader, encode_request
 from egretworks.inboundlinks import InboundLink
 from egretworks.linkframes import (
     Answered,
@@ -23,6 +29,7 @@
     ConfigCopy,
     ConfigDelta,
     ConfigRequest,
+    FrameReader,
     GateReport,
     Offer,
     OutcomeQuery,
@@ -223,3 +230,65 @@
     for read in (lambda: store.watch("config", 1, 0), lambda: store.read("config", "main")):
         with contextlib.suppress(PlatformUnavailable):
             read()
+
+
+# Deeper than any decoder follows, and small enough for an object of the store.
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+def with_deep_field(document):
+    """Return the JSON object `document` with one more field, which is nested deeply."""
+    return b'{"deep": ' + DEEP + b"," + document.lstrip()[1:]
+
+
+# Guards against a daemon that finds no other one, or that follows no configuration any more: one
+# deeply nested object, left by another writer, made each read of its kind fail.
+def test_a_deeply_nested_object_hides_no_other():
+    odd = b'{"metadata": {"name": "odd", "rev": 7}, "spec": ' + DEEP + b"}"
+    good = b'{"metadata": {"name": "d9", "rev": 8}, "spec": ' + encode_row(ROW) + b"}"
+    store = platform_store()
+    store._call = lambda *arguments: b'{"atRev": 9, "items": [' + odd + b"," + good + b"]}"
+    snapshot = store.list("egret-daemons")
+    assert [stored.name for stored in snapshot.objects] == ["odd", "d9"]
+    assert [decode_row(stored.document) for stored in snapshot.objects] == [None, ROW]
+
+
+def test_a_deeply_nested_row_is_ignored():
+    assert decode_row(with_deep_field(encode_row(ROW))) is None
+
+
+def test_a_deeply_nested_configuration_is_refused():
+    with pytest.raises(ConfigInvalid):
+        edge().decode_config(with_deep_field(config_document(3)))
+
+
+def test_a_deeply_nested_heartbeat_is_refused():
+    body = with_deep_field(heartbeat_body("127.0.0.1:8080"))
+    path = b"/rpc?call=instances.heartbeat&of=i-1"
+    with pytest.raises(BadRequest):
+        edge().read_announcement(Request("POST", path, [], body, True))
+
+
+def test_a_deeply_nested_frame_closes_its_link_only():
+    payload = b"\x93\x0a\x01" + b"\x91" * 100_000 + b"\xc0"
+    with pytest.raises(PeerError):
+        FrameReader().feed(len(payload).to_bytes(4, "big") + payload)
+
+
+@pytest.mark.parametrize("port", (0, -1, 65_536, 10**30))
+def test_a_row_with_a_port_out_of_range_is_ignored(port):
+    document = json.dumps({"row": ["d9", "dc", "127.0.0.9", port, 1, 1]}).encode()
+    assert decode_row(document) is None
+
+
+@pytest.mark.parametrize("number", ("1" + "0" * 30, "1e400", "1" * 5_000))
+def test_a_row_with_a_number_too_large_is_ignored_and_hides_no_other(number):
+    document = f'{{"row": ["d9", "dc", "127.0.0.9", 80, {number}, 1]}}'.encode()
+    assert decode_row(document) is None
+    store = platform_store()
+    store._call = lambda *arguments: (
+        b'{"atRev": 9, "items": [{"metadata": {"name": "odd", "rev": 7}, "spec": '
+        + document
+        + b"}]}"
+    )
+    assert [stored.document for stored in store.list("egret-daemons").objects] == [document]
