Refuse what comes late in the grace and might be cut off at its end

Reported by other operators: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end without an answer, among them some that may run only once (LOST). Here it could happen with a request whose last byte comes late, as on a slow upload: its connection is kept, and it was passed on whatever was left of the grace.

A stopping daemon now serves a request that is whole after the middle of the grace only if its deadline ends before the drain does; otherwise it answers 503 with Connection: close and Retry-After, and offers it to nobody, so 'not run' is true. The new test got an empty answer before; two more show that late requests with short deadlines, and those before the middle, are served as before.

--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -84,6 +84,17 @@
     running_requests: RunningRequests
 
 
+class _Stop(msgspec.Struct, frozen=True):
+    """Hold the times of a planned stop of the daemon."""
+
+    last_start: Millis
+    ends_at: Millis
+
+    def comes_too_late(self, now: Millis, deadline: Millis) -> bool:
+        """Return whether a request that begins now might be cut off at the end."""
+        return now > self.last_start and deadline > self.ends_at
+
+
 class Forwarder:
     """Forward the requests of this daemon's callers and hold the state that they share."""
 
@@ -94,6 +105,11 @@
         self.refusals = RecentRefusals()
         self.budget_by_service: dict[ServiceName, MeshRetryBudget] = {}
         self.in_flight = 0
+        self._stop: _Stop | None = None
+
+    def stop(self, last_start: Millis, ends_at: Millis) -> None:
+        """Refuse the requests that begin after `last_start` and may still run at `ends_at`."""
+        self._stop = _Stop(last_start, ends_at)
 
     def serve(self, exchange: HttpExchange) -> None:
         """Start forwarding the request of `exchange`, or answer it with an error."""
@@ -142,9 +158,12 @@
             raise NoRoute(
                 f"no route of configuration version {host.config.version} matches the request"
             )
-        service = self.splitter.choose(route)
         now = host.clock.now()
         left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
+        deadline = Millis(now + min(left_ms, route.timeout_ms))
+        if self._stop is not None and self._stop.comes_too_late(now, deadline):
+            raise NotReady("this daemon stops before the request's deadline")
+        service = self.splitter.choose(route)
         retry_share = host.running_requests.attribute(service, Millis(now + left_ms))
         self.budget(service).count_request(now, retry_share)
         return _Call(self, exchange, head, route, service, now, retry_share)
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -54,6 +54,9 @@
 # Part of the grace period that is kept back for closing what is still open.
 MIN_GRACE_LEFT_MS = 700
 DRAIN_POLL_MS = 25
+# A request that arrives within this share of the grace period has the rest of it to end. A later
+# one is served only if its deadline comes first: it can't be told from one that would be cut off.
+LAST_START_SHARE = 0.5
 # Fraction of the memory limit that request bodies may occupy.
 BODY_MEMORY_FRACTION = 0.25
 # Fraction of the memory limit that the bodies of arriving answers may occupy.
@@ -331,7 +334,10 @@
 
     def _drain(self) -> None:
         """Leave the rotation, wait for in-flight requests until the grace period ends, and stop."""
-        drain_deadline = self._clock.now() + self._settings.bounds.grace_ms - MIN_GRACE_LEFT_MS
+        now, grace_ms = self._clock.now(), self._settings.bounds.grace_ms
+        drain_deadline = Millis(now + grace_ms - MIN_GRACE_LEFT_MS)
+        last_start = Millis(now + grace_ms * LAST_START_SHARE)
+        self._forwarder.stop(last_start, drain_deadline)
         # Callers keep connecting until failed readiness checks take the daemon out of rotation.
         eventlet.sleep(seconds(OUT_OF_ROTATION_MS - ROW_PROPAGATION_MS))
         self._gate.stopping = True
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -194,3 +194,51 @@
             assert len(read_all(running)) > LARGE_ANSWER_BYTES
             assert len(read_all(accepted)) > LARGE_ANSWER_BYTES
     assert portal.wait() == 0
+
+
+def send_late(sidecar, begun_s, whole_s, left_ms):
+    """Stop `sidecar`; send a request whose first and last bytes come so long after the signal."""
+    sidecar.signal(signal.SIGTERM)
+    time.sleep(begun_s)
+    sock = socket.create_connection(("127.0.0.1", sidecar.ports["calls"]), timeout=20)
+    sock.sendall(
+        b"POST /give/x HTTP/1.1\r\nHost: pool.example\r\nX-Egret-Attempt-Id: late\r\n"
+        b"X-Egret-Deadline-Ms: %d\r\nContent-Length: 4\r\n\r\n" % left_ms
+    )
+    time.sleep(whole_s - begun_s)
+    sock.sendall(b"gift")
+    return sock
+
+
+# Guards against a request that is taken late in the grace, passed on and cut off at its end: its
+# caller learns nothing, and must not send it again if it may run only once.
+def test_a_request_that_is_whole_late_in_the_grace_is_refused_and_has_not_run(sidecars):
+    portal, ledger = large_answers(sidecars)
+    ledger.target.work_ms = 2_500
+    with send_late(portal, 1.8, 4.2, left_ms=8_000) as sock:
+        answer = read_all(sock).lower()
+    assert answer.startswith(b"http/1.1 503")
+    assert b"connection: close" in answer
+    assert b"retry-after: " in answer
+    assert portal.wait() == 0
+    assert ledger.target.runs == []
+
+
+def test_a_late_request_that_expires_within_the_grace_is_served(sidecars):
+    portal, ledger = large_answers(sidecars)
+    ledger.target.work_ms = 50
+    with send_late(portal, 1.8, 4.2, left_ms=900) as sock:
+        answer = read_all(sock)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert portal.wait() == 0
+    assert ledger.target.runs == ["late"]
+
+
+# The case that the grace is meant for: what comes before its middle runs until its end.
+def test_a_request_before_the_middle_of_the_grace_is_served(sidecars):
+    portal, ledger = large_answers(sidecars)
+    ledger.target.work_ms = 1_500
+    with send_late(portal, 1.8, 2.6, left_ms=8_000) as sock:
+        answer = read_all(sock)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert portal.wait() == 0
