Split the carrying of one request off the forwarder

A forwarded request is a module of its own, and what is known of it when it comes is a struct, whose deadline was computed twice.

--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -1,98 +1,42 @@
-"""Forward callers' requests: find the route, select a target, offer, retry and answer."""
+"""Forward callers' requests: find the route and hold what the requests share."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import msgspec
 
 from egretworks.callertimeouts import CallerTimeouts
-from egretworks.calllog import CallLog
-from egretworks.clock import Clock, Millis
-from egretworks.configholder import ConfigHolder
-from egretworks.destinations import Destination
-from egretworks.edge import CallHead, Edge
-from egretworks.exceptions import (
-    AttemptTimeout,
-    CallError,
-    NoRoute,
-    NotReady,
-    OutcomeUnknown,
-    Overloaded,
+from egretworks.clock import Millis
+from egretworks.edge import CallHead
+from egretworks.exceptions import CallError, NoRoute, NotReady
+from egretworks.forwardedcall import (
+    NOT_READY_RETRY_AFTER_MS,
+    AcceptedCall,
+    ForwardedCall,
+    ForwardHost,
 )
 from egretworks.httpport import HttpExchange
-from egretworks.httpwire import Response, error_response
-from egretworks.linkframes import (
-    Answered,
-    LossReason,
-    Lost,
-    Offer,
-    Outcome,
-    RefusalReason,
-    Refused,
-)
-from egretworks.meshretrybudget import MeshRetryBudget, RetryBounds
-from egretworks.meshroutes import MeshRoute, Splitter
-from egretworks.metrics import Metrics
-from egretworks.pendingoffer import CancelCallback
-from egretworks.refusals import RecentRefusals, refusal_response, retry_after_ms
-from egretworks.runningrequests import RunningRequests
-from egretworks.streams import call_later
-from egretworks.targetselection import TargetEstimate, select_target
-from egretworks.types import CallId, RandomSource, Repeat, ServiceName
+from egretworks.meshretrybudget import MeshRetryBudget
+from egretworks.meshroutes import Splitter
+from egretworks.refusals import RecentRefusals, refusal_response
+from egretworks.types import CallId, ServiceName
 
 # Deadline of a request that states none.
 DEFAULT_TIMEOUT_MS = 15_000.0
-# The target's daemon answers at the deadline. A request is failed this much later in case that
-# daemon does not answer.
-DEADLINE_GRACE_MS = 120
-# A request that a gate refuses without sending it to its target is offered again until it has had
-# this many offers. Such another offer costs no retry budget, as no target has received the request.
-MAX_OFFERS = 10
-# After this many offers in its own data centre, a request goes wherever it is answered soonest: at
-# a crest the targets of one data centre are full, while others have room.
-MAX_NEAR_OFFERS = 6
-# Another attempt with less time left than this cannot succeed.
-MIN_ATTEMPT_MS = 20.0
-# A gate sorts requests that will be late behind the rest. So a refusal of a request with less than
-# this share of its objective left says nothing about other requests.
-MIN_OBJECTIVE_LEFT_SHARE = 0.3
-NOT_READY_RETRY_AFTER_MS = 250.0
 # Logged as the id of a request whose head could not be read.
 UNKNOWN_CALL_ID = CallId("")
 
 
-class ForwardHost(msgspec.Struct, frozen=True):
-    """Hold the parts of the daemon that forwarding uses."""
-
-    clock: Clock
-    random: RandomSource
-    edge: Edge
-    metrics: Metrics
-    calls: CallLog
-    config: ConfigHolder
-    # Returns the destinations that accept requests for a service.
-    destinations: Callable[[ServiceName], list[Destination]]
-    # Returns how many daemons share the retry budget.
-    daemons: Callable[[], int]
-    # Returns the service of the local target, which is sent as the caller of all requests.
-    own_service: Callable[[], ServiceName]
-    retry_bounds: Callable[[], RetryBounds]
-    # Since when this daemon has certainly spent no retry budget, also in earlier runs.
-    unspent_since: Millis
-    # Holds the requests that run at the local target.
-    running_requests: RunningRequests
-
-
 class _Stop(msgspec.Struct, frozen=True):
     """Hold the times of a planned stop of the daemon."""
 
     last_start: Millis
     ends_at: Millis
 
-    def comes_too_late(self, now: Millis, deadline: Millis) -> bool:
-        """Return whether a request that begins now might be cut off at the end."""
-        return now > self.last_start and deadline > self.ends_at
+    def comes_too_late(self, call: AcceptedCall) -> bool:
+        """Return whether `call` might be cut off at the end of the stop."""
+        return call.began > self.last_start and call.deadline > self.ends_at
 
 
 class Forwarder:
@@ -148,7 +92,7 @@
             for service, calls in calls_by_service.items()
         )
 
-    def _begin(self, exchange: HttpExchange, head: CallHead) -> _Call:
+    def _begin(self, exchange: HttpExchange, head: CallHead) -> ForwardedCall:
         host = self.host
         request = exchange.request
         if host.config.config is None:
@@ -158,280 +102,11 @@
             raise NoRoute(
                 f"no route of configuration version {host.config.version} matches the request"
             )
-        now = host.clock.now()
         left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
-        deadline = Millis(now + min(left_ms, route.timeout_ms))
-        if self._stop is not None and self._stop.comes_too_late(now, deadline):
-            raise NotReady("this daemon stops before the request's deadline")
-        service = self.splitter.choose(route)
+        now, service = host.clock.now(), self.splitter.choose(route)
+        call = AcceptedCall(head.id, route, service, now, left_ms)
+        if self._stop is not None and self._stop.comes_too_late(call):
+            raise NotReady("this daemon stops before the request expires")
         retry_share = host.running_requests.attribute(service, Millis(now + left_ms))
         self.budget(service).count_request(now, retry_share)
-        return _Call(self, exchange, head, route, service, now, retry_share)
-
-
-class _Call:
-    """Hold one request while it is forwarded.
-
-    It ends once: with an answer, an error, a refusal or the caller's disconnect.
-    """
-
-    def __init__(
-        self,
-        forwarder: Forwarder,
-        exchange: HttpExchange,
-        head: CallHead,
-        route: MeshRoute,
-        service: ServiceName,
-        now: Millis,
-        retry_share: float,
-    ) -> None:
-        self._forwarder = forwarder
-        self._host = forwarder.host
-        self._exchange = exchange
-        self._head = head
-        self._route = route
-        self._service = service
-        self._started = now
-        left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
-        self._initial_left_ms = left_ms
-        self._deadline = Millis(now + min(left_ms, route.timeout_ms))
-        waited_ms = forwarder.caller_timeouts.waited_ms(route.name, left_ms, now)
-        self._objective_at = Millis(now + route.objective_ms - waited_ms)
-        self._idempotent = route.repeat is Repeat.IDEMPOTENT
-        self._headers = self._host.edge.forwarded_headers(exchange.request)
-        self._tried: list[Destination] = []
-        self._offers = 0
-        # Probability that the local target makes this request in a retry.
-        self._retry_share = retry_share
-        # How many targets have received the request, as far as is known.
-        self._attempt_count = 0
-        self._may_have_run = False
-        self._failed_answer: Answered | None = None
-        # For the log: the estimate for each target tried and the outcome there.
-        self._attempts: list[dict[str, object]] = []
-        self._cancel_offer: CancelCallback | None = None
-        self._ended = False
-        self._timer = call_later(self._deadline - now + DEADLINE_GRACE_MS, self._on_deadline)
-
-    def offer_next(self) -> None:
-        """Offer the request to the best target that has not been tried yet."""
-        now = self._host.clock.now()
-        untried = self._untried()
-        destinations = self._not_busy(untried) or untried
-        estimates = [destination.estimate(now) for destination in destinations]
-        near_offers = sum(destination.near for destination in self._tried)
-        index = select_target(estimates, self._host.random, avoid_far=near_offers < MAX_NEAR_OFFERS)
-        if index is None or self._deadline - now < 1:
-            self._refuse(
-                NOT_READY_RETRY_AFTER_MS, "no serving target of the service, or no time left"
-            )
-            return
-        destination = destinations[index]
-        self._tried.append(destination)
-        self._offers += 1
-        self._log_offer(destination, estimates[index], now)
-        self._cancel_offer = None
-        cancel = destination.offer(self._make_offer(now), self._on_outcome)
-        # The outcome may have arrived before `offer` returned, and may have led to another offer.
-        if not self._ended and self._tried[-1] is destination:
-            self._cancel_offer = cancel
-
-    def on_caller_gone(self) -> None:
-        """Cancel the request after its caller has disconnected."""
-        if self._end():
-            self._host.metrics.count("calls_abandoned")
-            self._host.calls.step("call_abandoned", self._head.id, attempts=self._attempts)
-            if self._cancel_offer is not None:
-                self._cancel_offer()
-
-    def _make_offer(self, now: Millis) -> Offer:
-        request = self._exchange.request
-        return Offer(
-            serial=0,
-            call=self._head.id,
-            route=self._route.name,
-            service=self._service,
-            caller=self._host.own_service(),
-            method=request.method,
-            url=request.url,
-            headers=self._headers,
-            body=request.body,
-            left_ms=round(self._deadline - now, 1),
-            objective_left_ms=round(self._objective_at - now, 1),
-            priority=self._route.priority,
-            idempotent=self._idempotent,
-            retry_share=1.0 if self._attempt_count else self._retry_share,
-        )
-
-    def _on_outcome(self, outcome: Outcome) -> None:
-        if self._ended:
-            return
-        self._log_outcome(outcome)
-        if isinstance(outcome, Answered):
-            self._on_answered(outcome)
-        elif isinstance(outcome, Refused):
-            self._on_refused(outcome)
-        else:
-            self._on_lost(outcome)
-
-    def _on_answered(self, outcome: Answered) -> None:
-        self._attempt_count += 1
-        if outcome.status >= 500 and self._idempotent:
-            self._may_have_run = True
-            self._failed_answer = outcome
-            if self._may_retry("failed"):
-                self.offer_next()
-                return
-        self._deliver(outcome)
-
-    def _on_refused(self, outcome: Refused) -> None:
-        self._remember_busy(outcome)
-        if outcome.reached_target:
-            self._attempt_count += 1
-            retry = self._may_retry("declined")
-        else:
-            retry = self._offers < MAX_OFFERS and not self._waited_late(outcome)
-            retry = retry and outcome.reason is not RefusalReason.RETRY_BUDGET
-            retry = retry and bool(self._not_busy(self._untried()))
-        if retry:
-            self.offer_next()
-        else:
-            self._refuse(outcome.retry_after_ms, outcome.reason.name.lower())
-
-    def _waited_late(self, outcome: Refused) -> bool:
-        """Return whether the request has waited at a gate though it was late, and in vain."""
-        is_late = self._host.clock.now() > self._objective_at
-        return is_late and outcome.reason is RefusalReason.EXPIRED
-
-    def _on_lost(self, outcome: Lost) -> None:
-        self._attempt_count += 1
-        self._may_have_run = True
-        timed_out = outcome.reason is LossReason.TIMED_OUT
-        if self._idempotent and not timed_out and self._may_retry("lost"):
-            self.offer_next()
-            return
-        error_class = AttemptTimeout if timed_out else OutcomeUnknown
-        self._fail(error_class(f"the answer of the target was lost: {outcome.reason.name.lower()}"))
-
-    def _may_retry(self, ended: str) -> bool:
-        """Return whether the request may be sent to another target; if so, spend retry budget.
-
-        `ended` tells for the metrics how the attempt before has ended.
-        """
-        now = self._host.clock.now()
-        if self._attempt_count >= self._route.max_attempts or not self._untried():
-            return False
-        if self._deadline - now < MIN_ATTEMPT_MS:
-            return False
-        allowed = self._forwarder.budget(self._service).try_spend(self._host.daemons(), now)
-        self._host.metrics.count("attempts_again" if allowed else "attempts_over_budget")
-        if allowed:
-            self._host.metrics.count(f"attempts_again_after_{ended}")
-        return allowed
-
-    def _untried(self) -> list[Destination]:
-        return [
-            destination
-            for destination in self._host.destinations(self._service)
-            if destination not in self._tried
-        ]
-
-    def _remember_busy(self, outcome: Refused) -> None:
-        """Remember the refusal if other requests of the route would be refused too."""
-        now = self._host.clock.now()
-        in_time = self._objective_at - now >= self._route.objective_ms * MIN_OBJECTIVE_LEFT_SHARE
-        if outcome.reason is RefusalReason.BUSY and in_time:
-            daemon = self._tried[-1].name
-            self._forwarder.refusals.record(daemon, self._route.name, outcome.retry_after_ms, now)
-
-    def _not_busy(self, destinations: list[Destination]) -> list[Destination]:
-        """Return those of `destinations` that have not refused a request of the route just now."""
-        now, refusals = self._host.clock.now(), self._forwarder.refusals
-        route = self._route.name
-        return [
-            destination
-            for destination in destinations
-            if not refusals.is_busy(destination.name, route, now)
-        ]
-
-    def _on_deadline(self) -> None:
-        if self._cancel_offer is not None:
-            self._cancel_offer()
-        self._fail(AttemptTimeout("no answer before the deadline"))
-
-    def _refuse(self, suggested_ms: float, reason: str) -> None:
-        """Answer that the request was not run, unless an earlier attempt may have run it.
-
-        `suggested_ms` is the delay before a retry that the gate suggests; it is adjusted to the
-        time that the caller has left.
-        """
-        if self._failed_answer is not None:
-            self._deliver(self._failed_answer)
-            return
-        if self._may_have_run:
-            self._fail(OutcomeUnknown("an earlier attempt may have run"))
-            return
-        now = self._host.clock.now()
-        left_ms = self._started + self._initial_left_ms - now
-        after_ms = retry_after_ms(suggested_ms, left_ms, self._host.random)
-        self._finish("refused", reason, refusal_response(Overloaded(reason), after_ms))
-
-    def _fail(self, error: CallError) -> None:
-        self._finish("failed", error.message, error_response(error))
-
-    def _deliver(self, answer: Answered) -> None:
-        response = Response(answer.status, answer.headers, answer.body)
-        self._finish("answered", str(answer.status), response)
-
-    def _finish(self, result: str, reason: str, response: Response) -> None:
-        if not self._end():
-            return
-        host = self._host
-        took_ms = host.clock.now() - self._started
-        host.metrics.count(f"calls_{result}")
-        host.metrics.observe("call", took_ms)
-        failed = result != "answered" or response.status >= 500
-        log = host.calls.failure if failed else host.calls.step
-        log(
-            f"call_{result}",
-            self._head.id,
-            status=response.status,
-            reason=reason,
-            route=self._route.name,
-            service=self._service,
-            version=host.config.version,
-            took_ms=round(took_ms, 1),
-            attempts=self._attempts,
-        )
-        self._exchange.respond(response)
-
-    def _log_offer(self, destination: Destination, estimate: TargetEstimate, now: Millis) -> None:
-        self._attempts.append(
-            {
-                "daemon": destination.name,
-                "at_ms": round(now - self._started, 1),
-                "load": estimate.load,
-                "slots": estimate.slots,
-                "work_ms": estimate.work_ms,
-                "suspect": estimate.suspect,
-                "near": estimate.near,
-            }
-        )
-
-    def _log_outcome(self, outcome: Outcome) -> None:
-        now = self._host.clock.now()
-        attempt = self._attempts[-1]
-        attempt["ended_ms"] = round(now - self._started, 1)
-        if isinstance(outcome, Answered):
-            attempt["outcome"] = str(outcome.status)
-        else:
-            attempt["outcome"] = f"{type(outcome).__name__.lower()} {outcome.reason.name.lower()}"
-
-    def _end(self) -> bool:
-        """Mark the call as ended; return False if it had ended before."""
-        if self._ended:
-            return False
-        self._ended = True
-        self._timer.cancel()
-        self._forwarder.in_flight -= 1
-        return True
+        return ForwardedCall(self, exchange, call, retry_share)
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -10,6 +10,7 @@
 from egretworks.exceptions import PeerError
 from egretworks.httpwire import Headers
 from egretworks.rows import DaemonRow
+from egretworks.types import Probability
 
 LENGTH_BYTES = 4
 # Version of this build's frames, the first that has `ConfigDelta` and `RowsRequest`, and the first
@@ -106,7 +107,7 @@
     sent_at: float | None = None
     # Probability that the request is part of a retry: 1 if another target has received it already;
     # see `RunningRequests` for calls of targets. 0 from an older build.
-    retry_share: float = 0.0
+    retry_share: Probability = 0.0
 
 
 class Answered(msgspec.Struct, array_like=True, frozen=True, tag=3):
--- a/egretworks/runningrequests.py
+++ b/egretworks/runningrequests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Mapping
 
 import msgspec
@@ -14,6 +14,8 @@
 DEADLINE_TOLERANCE_MS = 50.0
 # The counts of a route are halved at this number of runs, so that they follow changes.
 MAX_COUNTED_RUNS = 1_000
+# The counts of the routes that were first seen longest ago are dropped beyond this number.
+MAX_COUNTED_ROUTES = 2_000
 
 
 class RunningRequest(msgspec.Struct, eq=False, frozen=True):
@@ -41,12 +43,12 @@
 
     def __init__(self) -> None:
         self._running: set[RunningRequest] = set()
-        self._counts_by_route: defaultdict[RouteName, _RouteCounts] = defaultdict(_RouteCounts)
+        self._counts_by_route: dict[RouteName, _RouteCounts] = {}
 
     def start(self, request: RunningRequest) -> None:
         """Add a request that starts."""
         self._running.add(request)
-        counts = self._counts_by_route[request.route]
+        counts = self._counts_of(request.route)
         counts.runs += 1
         if counts.runs >= MAX_COUNTED_RUNS:
             counts.runs /= 2
@@ -62,7 +64,7 @@
         latest = deadline - DEADLINE_TOLERANCE_MS
         possible = [running for running in self._running if running.deadline >= latest]
         for running in possible:
-            counts = self._counts_by_route[running.route]
+            counts = self._counts_of(running.route)
             counts.calls_by_service[service] += 1 / len(possible)
         return sum(running.retry_share for running in possible) / max(1, len(possible))
 
@@ -80,3 +82,11 @@
             for service, calls in counts.calls_by_service.items():
                 calls_by_service[service] += weight * calls / max(1.0, counts.runs)
         return calls_by_service
+
+    def _counts_of(self, route: RouteName) -> _RouteCounts:
+        counts = self._counts_by_route.get(route)
+        if counts is None:
+            if len(self._counts_by_route) >= MAX_COUNTED_ROUTES:
+                del self._counts_by_route[next(iter(self._counts_by_route))]
+            counts = self._counts_by_route[route] = _RouteCounts()
+        return counts
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -19,7 +19,8 @@
 from egretworks.destinations import Destination, LocalDestination
 from egretworks.edge import Edge, Heartbeat
 from egretworks.exceptions import BadRequest, SettingsError
-from egretworks.forwarding import Forwarder, ForwardHost
+from egretworks.forwardedcall import ForwardHost
+from egretworks.forwarding import Forwarder
 from egretworks.gate import Gate, GateHost
 from egretworks.gauges import GaugeSources, read_gauges
 from egretworks.httpport import HttpExchange, HttpPort
--- a/egretworks/types.py
+++ b/egretworks/types.py
@@ -54,6 +54,7 @@
 MAX_INT64 = 2**63 - 1
 Int64 = Annotated[int, Meta(ge=-MAX_INT64 - 1, le=MAX_INT64)]
 PositiveInt64 = Annotated[int, Meta(ge=1, le=MAX_INT64)]
+Probability = Annotated[float, Meta(ge=0, le=1)]
 
 # The version of a mesh in which no ticket has been accepted yet.
 NO_VERSION = Version(0)
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -10,7 +10,7 @@
 from simdaemons import SimDaemon, SimExchange, SimLink
 from simulation import SimClock, Simulation
 
-from egretworks import forwarding, gate, healthchecks
+from egretworks import forwardedcall, gate, healthchecks
 from egretworks.httpwire import Request
 from egretworks.linkplan import LinkPurpose, plan_links
 from egretworks.meshroutes import MeshConfig, MeshRoute, MeshService, Share
@@ -132,7 +132,7 @@
 
     def __init__(self, monkeypatch, kinds, seed=1):
         self.time = Simulation()
-        for module in (forwarding, gate, healthchecks):
+        for module in (forwardedcall, gate, healthchecks):
             monkeypatch.setattr(module, "call_later", self.time.call_later)
         self.clock = SimClock(self.time)
         self.random = random.Random(seed)
--- a/tests/simdaemons.py
+++ b/tests/simdaemons.py
@@ -8,7 +8,8 @@
 from egretworks.calllog import CallLog
 from egretworks.destinations import LocalDestination
 from egretworks.edge import Heartbeat
-from egretworks.forwarding import Forwarder, ForwardHost
+from egretworks.forwardedcall import ForwardHost
+from egretworks.forwarding import Forwarder
 from egretworks.gate import Gate, GateHost
 from egretworks.httpwire import Response
 from egretworks.linkframes import GateReport
--- a/tests/test_overflow.py
+++ b/tests/test_overflow.py
@@ -6,7 +6,7 @@
 from loadsim import Kind, Load, Mesh
 from simdaemons import FULL_SLOWDOWN
 
-from egretworks import forwarding
+from egretworks import forwardedcall
 
 VIEW = Kind("view", "portal", 390, 1_143, 4_017, retries=1)
 DATA_CENTRES = ("trnje", "dubrava", "susedgrad", "maksimir", "novi")
@@ -73,7 +73,7 @@
 # All targets of a data centre are full at its crest: a request that is offered to some of them and
 # then refused never gets to those elsewhere that have room.
 def test_a_request_reaches_targets_elsewhere_when_its_own_data_centre_is_full(present, monkeypatch):
-    monkeypatch.setattr(forwarding, "MAX_OFFERS", 4)
+    monkeypatch.setattr(forwardedcall, "MAX_OFFERS", 4)
     few_offers = play_moving_crest(monkeypatch)
     print(f"in time {share_in_time(present):.3f}, with four offers {share_in_time(few_offers):.3f}")
     print(f"refused {share_refused(present):.3f}, {share_refused(few_offers):.3f}")
@@ -83,7 +83,7 @@
 
 # Bytes between data centres are expensive: what the own data centre can do stays there.
 def test_a_request_goes_elsewhere_only_if_its_own_data_centre_is_full(present, monkeypatch):
-    monkeypatch.setattr(forwarding, "MAX_NEAR_OFFERS", 0)
+    monkeypatch.setattr(forwardedcall, "MAX_NEAR_OFFERS", 0)
     nearness_ignored = play_moving_crest(monkeypatch)
     print(f"offers elsewhere {far_offers(present):.3f}, {far_offers(nearness_ignored):.3f}")
     print(f"in time {share_in_time(present):.3f}, {share_in_time(nearness_ignored):.3f}")
