Refuse late calls in a planned stop of egretd as well

egretd had the fault that mended in meshd: a call whose last byte comes late in the drain was taken and cut off at its end. The new process test got an empty answer before and gets 503 now, and the target has not run the call. Both daemons decide by the same module.

--- a/egretworks/daemon.py
+++ b/egretworks/daemon.py
@@ -31,6 +31,7 @@
 from egretworks.oncecalls import OnceCalls
 from egretworks.operatorport import OperatorPort
 from egretworks.peers import PeerClient, PeerServer
+from egretworks.plannedstop import planned_stop
 from egretworks.shards import ShardStore
 from egretworks.shardwriter import ShardWriter
 from egretworks.timeline import Timeline
@@ -106,7 +107,9 @@
     def _drain(self) -> None:
         self.gossip.send(self.board.membership.leave())
         eventlet.sleep(seconds(LEAVE_PROPAGATION_MS))
-        self.call_port.drain(self.board.settings.calls.drain_ms)
+        drain_ms = self.board.settings.calls.drain_ms
+        self.dispatcher.stop = planned_stop(self.clock.now(), drain_ms)
+        self.call_port.drain(drain_ms)
         self._wait_for_once_outcomes()
         self.board.timeline.record("stopped")
         self.operator_port.close()
--- a/egretworks/dispatch.py
+++ b/egretworks/dispatch.py
@@ -33,6 +33,7 @@
     error_response,
 )
 from egretworks.metrics import Metrics
+from egretworks.plannedstop import PlannedStop
 from egretworks.resources import Route
 from egretworks.retry import RetryBudget, retry_delay_ms
 from egretworks.routing import RouteTable
@@ -87,6 +88,8 @@
         self._calls_started = 0
         self.in_flight = 0
         self.once: OnceService | None = None
+        # Set while the daemon stops.
+        self.stop: PlannedStop | None = None
 
     def serve(self, request: Request) -> Response:
         """Return the target's answer to `request`, or an error answer of this daemon."""
@@ -128,6 +131,8 @@
             board.settings.calls.max_depth,
             f"{board.own_id}-{board.membership.own.incarnation:x}-{self._calls_started:x}",
         )
+        if self.stop is not None and self.stop.is_too_late(now, context.deadline):
+            raise NotReady("this daemon stops before the call expires")
         call = Call(request, route, context)
         if route.repeat is Repeat.ONCE:
             # A once-only call is completed and recorded even if its caller disconnects, so
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Mapping
 
-import msgspec
-
 from egretworks.callertimeouts import CallerTimeouts
 from egretworks.clock import Millis
 from egretworks.edge import CallHead
@@ -19,6 +17,7 @@
 from egretworks.httpport import HttpExchange
 from egretworks.meshretrybudget import MeshRetryBudget
 from egretworks.meshroutes import Splitter
+from egretworks.plannedstop import PlannedStop
 from egretworks.refusals import RecentRefusals, refusal_response
 from egretworks.types import CallId, ServiceName
 
@@ -28,17 +27,6 @@
 UNKNOWN_CALL_ID = CallId("")
 
 
-class _Stop(msgspec.Struct, frozen=True):
-    """Hold the times of a planned stop of the daemon."""
-
-    last_start: Millis
-    ends_at: Millis
-
-    def comes_too_late(self, call: AcceptedCall) -> bool:
-        """Return whether `call` might be cut off at the end of the stop."""
-        return call.began > self.last_start and call.deadline > self.ends_at
-
-
 class Forwarder:
     """Forward the requests of this daemon's callers and hold the state that they share."""
 
@@ -49,11 +37,8 @@
         self.refusals = RecentRefusals()
         self.budget_by_service: dict[ServiceName, MeshRetryBudget] = {}
         self.in_flight = 0
-        self._stop: _Stop | None = None
-
-    def stop(self, last_start: Millis, ends_at: Millis) -> None:
-        """Refuse the requests that begin after `last_start` and may still run at `ends_at`."""
-        self._stop = _Stop(last_start, ends_at)
+        # Set while the daemon stops.
+        self.stop: PlannedStop | None = None
 
     def serve(self, exchange: HttpExchange) -> None:
         """Start forwarding the request of `exchange`, or answer it with an error."""
@@ -105,7 +90,7 @@
         left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
         now, service = host.clock.now(), self.splitter.choose(route)
         call = AcceptedCall(head.id, route, service, now, left_ms)
-        if self._stop is not None and self._stop.comes_too_late(call):
+        if self.stop is not None and self.stop.is_too_late(now, call.deadline):
             raise NotReady("this daemon stops before the request expires")
         retry_share = host.running_requests.attribute(service, Millis(now + left_ms))
         self.budget(service).count_request(now, retry_share)
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -32,6 +32,7 @@
 from egretworks.meshretrybudget import RetryBounds
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
+from egretworks.plannedstop import planned_stop
 from egretworks.rows import DaemonRow, RowTable, is_store_watcher
 from egretworks.settingsreload import ReloadableSettings
 from egretworks.storesync import CONFIG_NAME, ConfigWatch, PeerDiscovery, Store, Stored
@@ -55,9 +56,6 @@
 # Part of the grace period that is kept back for closing what is still open.
 MIN_GRACE_LEFT_MS = 700
 DRAIN_POLL_MS = 25
-# A request that arrives within this share of the grace period has the rest of it to end. A later
-# one is served only if its deadline comes first: it can't be told from one that would be cut off.
-LAST_START_SHARE = 0.5
 # Fraction of the memory limit that request bodies may occupy.
 BODY_MEMORY_FRACTION = 0.25
 # Fraction of the memory limit that the bodies of arriving answers may occupy.
@@ -335,10 +333,9 @@
 
     def _drain(self) -> None:
         """Leave the rotation, wait for in-flight requests until the grace period ends, and stop."""
-        now, grace_ms = self._clock.now(), self._settings.bounds.grace_ms
-        drain_deadline = Millis(now + grace_ms - MIN_GRACE_LEFT_MS)
-        last_start = Millis(now + grace_ms * LAST_START_SHARE)
-        self._forwarder.stop(last_start, drain_deadline)
+        grace_ms = self._settings.bounds.grace_ms
+        stop = planned_stop(self._clock.now(), grace_ms, MIN_GRACE_LEFT_MS)
+        self._forwarder.stop = stop
         # Callers keep connecting until failed readiness checks take the daemon out of rotation.
         eventlet.sleep(seconds(OUT_OF_ROTATION_MS - ROW_PROPAGATION_MS))
         self._gate.stopping = True
@@ -347,7 +344,7 @@
         self._call_port.closing = True
         self._call_port.stop_listening()
         self._call_port.close_idle()
-        while self._clock.now() < drain_deadline and self._busy():
+        while self._clock.now() < stop.ends_at and self._busy():
             eventlet.sleep(seconds(DRAIN_POLL_MS))
             self._call_port.close_idle()
         self._timeline.record(
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -157,3 +158,21 @@
     shed = target.counts()["shed"]
     assert_all_answered(Load(daemons, seconds=2, rate=60, seed=2).totals())
     assert target.counts()["shed"] == shed
+
+
+# Guards against a request that is taken late in the drain and cut off at its end.
+def test_a_request_that_is_whole_late_in_the_drain_is_refused_and_has_not_run(mesh):
+    (daemon,) = mesh.start_daemons(1, extra="[calls]\ndrain_ms = 4000\n")
+    target = mesh.start_target("t0", "ledger", daemon, work_ms=3_000)
+    mesh.put_in_force(LEDGER_TICKET)
+    mesh.await_targets(1)
+    with socket.create_connection(("127.0.0.1", daemon.call_port), timeout=10) as sock:
+        sock.sendall(b"GET /ledger/late HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n")
+        time.sleep(0.2)
+        daemon.signal(signal.SIGTERM)
+        time.sleep(3.2)
+        sock.sendall(b"gift")
+        answer = sock.recv(65_536)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert daemon.wait() == 0
+    assert target.runs() == {}
