Register in the era that was known before

A daemon that registers while the store comes back from a copy could take the new era for the one of its registration, and its row would not be written again.

--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -203,8 +203,9 @@
         while True:
             try:
                 if not registered:
+                    era = self._store.era
                     registered = self._register()
-                    self._era = self._store.era
+                    self._era = era or self._store.era
                 elif self._is_watcher():
                     registered = self._resync()
                 self._wait(RESYNC_MS * (0.5 + self._random.random()))
