Test offers between two builds and retries that a gate refuses

Offers without a retry share are read, and those with one by a build that knows none; a share that is no probability closes its link.

--- a/tests/test_linkframes.py
+++ b/tests/test_linkframes.py
@@ -1,11 +1,13 @@
 """Test that frames decode however the stream is split, and that invalid bytes are rejected."""
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from egretworks.exceptions import PeerError
 from egretworks.linkframes import (
+    LENGTH_BYTES,
     Answered,
     Cancel,
     FrameReader,
@@ -20,9 +22,12 @@
 from egretworks.rows import DaemonRow, TargetRow
 
 ROW = DaemonRow("a", "dc", "10.0.0.1", 7000, 5, 1, False, True, TargetRow("t", 1, "s", 8, True))
+OFFER = Offer(
+    *(7, "id", "r", "s", "c", "PUT", b"/x", [(b"a", b"\xff")], b"\0body", 9.5, 1.0, 0, True)
+)
 FRAMES = [
     Hello(ROW, 3, [ROW]),
-    Offer(7, "id", "r", "s", "c", "PUT", b"/x", [(b"a", b"\xff")], b"\0body", 9.5, 1.0, 0, True),
+    OFFER,
     Answered(7, 200, [(b"X-Y", b"z")], bytes(300), GateReport(8, 3, 41.5, 2)),
     Refused(8, RefusalReason.BUSY, 30.0, False, GateReport(8, 9, 41.5)),
     Cancel(9),
@@ -47,3 +52,34 @@
 def test_invalid_bytes_are_rejected(data):
     with pytest.raises(PeerError):
         FrameReader().feed(data)
+
+
+def older_offer():
+    """Return the struct of an offer as builds had it that knew no `retry_share`."""
+    fields = [
+        (
+            (field.name, field.type, field.default)
+            if field.default is not msgspec.NODEFAULT
+            else (field.name, field.type)
+        )
+        for field in msgspec.structs.fields(Offer)
+        if field.name != "retry_share"
+    ]
+    return msgspec.defstruct("OlderOffer", fields, array_like=True, frozen=True, tag=2)
+
+
+# Guards against daemons of two builds that close their links while an update is under way.
+def test_offers_of_daemons_that_know_no_retry_share_are_read_both_ways():
+    offer = msgspec.structs.replace(OFFER, retry_share=0.5)
+    older = older_offer()
+    values = {name: getattr(offer, name) for name in older.__struct_fields__}
+    assert msgspec.msgpack.decode(encode_frame(offer)[LENGTH_BYTES:], type=older) == older(**values)
+    (read,) = FrameReader().feed(encode_frame(older(**values)))
+    assert read == msgspec.structs.replace(offer, retry_share=0.0)
+
+
+@pytest.mark.parametrize("share", (-0.1, 1.1, float("nan")))
+def test_a_retry_share_that_is_no_probability_closes_the_link(share):
+    frame = encode_frame(msgspec.structs.replace(OFFER, retry_share=share))
+    with pytest.raises(PeerError):
+        FrameReader().feed(frame)
--- a/tests/test_retry_layers.py
+++ b/tests/test_retry_layers.py
@@ -63,3 +63,21 @@
     mesh.time.run_for(WINDOW_MS + 2_000)
     for service in ("planning", "register"):
         assert mesh.retry_record.worst_excess(service, RATIO, SLACK, WINDOW_MS) <= 0
+
+
+# Guards against retries that are refused by their target's daemon and run there all the same.
+def test_a_retry_whose_calls_exceed_the_budget_is_refused_and_does_not_run(monkeypatch):
+    mesh = build_mesh(monkeypatch, 1, 2)
+    mesh.time.run_for(2_000)
+    decline(mesh, "planning", 0.55)
+    mesh.time.run_for(4_000)
+    refused = retries_run = retried = 0
+    for daemon in mesh.daemons:
+        if daemon.service == "register":
+            counts = daemon.gate.host.metrics.counts
+            refused += counts["gate_refused_retry_budget"]
+            retries_run += counts["gate_retries_run"]
+            retried += sum(1 for runs in daemon.target.runs.values() if runs > 1)
+    assert refused > 100
+    assert retried == 0
+    assert len(mesh.retry_record.retries_by_service["register"]) == retries_run < refused
