Tell retries from calls that are probably made in one

What callers would see: a first attempt refused with 503 for the retry budget. Cause: an offer told both with one number, so a request that came while only retries ran at the target beside its caller had the share 1, was taken for a retry, and the gate refused it if the budget of its calls was spent.

An offer now has a flag for a retry beside the share.

--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -103,9 +103,9 @@
         forwarder: Forwarder,
         exchange: HttpExchange,
         accepted: AcceptedCall,
-        retry_share: float,
+        call_share: float,
     ) -> None:
-        """`retry_share` is the probability that the local target makes the request in a retry."""
+        """`call_share` is the probability that the local target makes the request in a retry."""
         route, now = accepted.route, accepted.began
         self._forwarder = forwarder
         self._host = forwarder.host
@@ -122,7 +122,7 @@
         self._headers = self._host.edge.forwarded_headers(exchange.request)
         self._tried: list[Destination] = []
         self._offers = 0
-        self._retry_share = retry_share
+        self._call_share = call_share
         # How many targets have received the request, as far as is known.
         self._attempt_count = 0
         self._may_have_run = False
@@ -180,7 +180,8 @@
             objective_left_ms=round(self._objective_at - now, 1),
             priority=self._route.priority,
             idempotent=self._idempotent,
-            retry_share=1.0 if self._attempt_count else self._retry_share,
+            retry=self._attempt_count > 0,
+            call_share=self._call_share,
         )
 
     def _on_outcome(self, outcome: Outcome) -> None:
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -92,6 +92,6 @@
         call = AcceptedCall(head.id, route, service, now, left_ms)
         if self.stop is not None and self.stop.is_too_late(now, call.deadline):
             raise NotReady("this daemon stops before the request expires")
-        retry_share = host.running_requests.attribute(service, Millis(now + left_ms))
-        self.budget(service).count_request(now, retry_share)
-        return ForwardedCall(self, exchange, call, retry_share)
+        call_share = host.running_requests.attribute(service, Millis(now + left_ms))
+        self.budget(service).count_request(now, call_share)
+        return ForwardedCall(self, exchange, call, call_share)
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -178,7 +178,7 @@
 
     def allows_retry(self, offer: Offer) -> bool:
         """Return whether `offer` is no retry, or the calls that it may make are within budget."""
-        if offer.retry_share < 1:
+        if not offer.retry:
             return True
         expected = self.running_requests.expected_calls(RouteName(offer.route))
         return self.host.allows_calls(expected)
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -105,9 +105,15 @@
     idempotent: bool
     # When the frame was sent, by the sender's clock; None from an older build.
     sent_at: float | None = None
-    # Probability that the request is part of a retry: 1 if another target has received it already;
-    # see `RunningRequests` for calls of targets. 0 from an older build.
-    retry_share: Probability = 0.0
+    # Whether another target has received the request already; False from an older build.
+    retry: bool = False
+    # Probability that a target makes the request in a retry, see `RunningRequests`.
+    call_share: Probability = 0.0
+
+    @property
+    def retry_share(self) -> float:
+        """Return the probability that the request is a retry, or a call made in one."""
+        return 1.0 if self.retry else self.call_share
 
 
 class Answered(msgspec.Struct, array_like=True, frozen=True, tag=3):
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -96,7 +96,7 @@
             RouteName(offer.route), self._entry.expires_at, offer.retry_share
         )
         gate.running_requests.start(self._running)
-        if offer.retry_share >= 1:
+        if offer.retry:
             self._host.metrics.count("gate_retries_run")
         left_ms = max(1.0, self._entry.expires_at - self._started)
         head = TargetHead(
--- a/tests/test_linkframes.py
+++ b/tests/test_linkframes.py
@@ -55,7 +55,7 @@
 
 
 def older_offer():
-    """Return the struct of an offer as builds had it that knew no `retry_share`."""
+    """Return the struct of an offer as builds had it that knew nothing of retries."""
     fields = [
         (
             (field.name, field.type, field.default)
@@ -63,23 +63,23 @@
             else (field.name, field.type)
         )
         for field in msgspec.structs.fields(Offer)
-        if field.name != "retry_share"
+        if field.name not in ("retry", "call_share")
     ]
     return msgspec.defstruct("OlderOffer", fields, array_like=True, frozen=True, tag=2)
 
 
 # Guards against daemons of two builds that close their links while an update is under way.
-def test_offers_of_daemons_that_know_no_retry_share_are_read_both_ways():
-    offer = msgspec.structs.replace(OFFER, retry_share=0.5)
+def test_offers_of_daemons_that_know_nothing_of_retries_are_read_both_ways():
+    offer = msgspec.structs.replace(OFFER, retry=True, call_share=0.5)
     older = older_offer()
     values = {name: getattr(offer, name) for name in older.__struct_fields__}
     assert msgspec.msgpack.decode(encode_frame(offer)[LENGTH_BYTES:], type=older) == older(**values)
     (read,) = FrameReader().feed(encode_frame(older(**values)))
-    assert read == msgspec.structs.replace(offer, retry_share=0.0)
+    assert read == msgspec.structs.replace(offer, retry=False, call_share=0.0)
 
 
 @pytest.mark.parametrize("share", (-0.1, 1.1, float("nan")))
-def test_a_retry_share_that_is_no_probability_closes_the_link(share):
-    frame = encode_frame(msgspec.structs.replace(OFFER, retry_share=share))
+def test_a_call_share_that_is_no_probability_closes_the_link(share):
+    frame = encode_frame(msgspec.structs.replace(OFFER, call_share=share))
     with pytest.raises(PeerError):
         FrameReader().feed(frame)
--- a/tests/test_retry_layers.py
+++ b/tests/test_retry_layers.py
@@ -4,6 +4,9 @@
 import pytest
 from loadsim import Kind, Load, Mesh
 
+from egretworks.forwarding import Forwarder
+from egretworks.runningrequests import RunningRequest
+
 RATIO, SLACK, WINDOW_MS = 0.2, 60, 10_000
 KINDS = (
     Kind("lookup", "register", 50, 200, 1_200, retries=2, calls="free", calls_share=0.7),
@@ -81,3 +84,16 @@
     assert refused > 100
     assert retried == 0
     assert len(mesh.retry_record.retries_by_service["register"]) == retries_run < refused
+
+
+# Guards against callers' own requests that are refused because they came while only retries ran.
+def test_a_first_attempt_is_not_refused_for_the_budget(monkeypatch):
+    mesh = build_mesh(monkeypatch, 1, 2)
+    monkeypatch.setattr(Forwarder, "allows_calls", lambda *_: False)
+    for daemon in mesh.daemons:
+        # All requests from this machine are taken for calls made in this retry.
+        daemon.gate.running_requests.start(RunningRequest("lookup", 1e9, 1.0))
+    mesh.time.run_for(2_000)
+    counts = [daemon.gate.host.metrics.counts for daemon in mesh.daemons]
+    assert sum(count["gate_refused_retry_budget"] for count in counts) == 0
+    assert mesh.total.in_time > 0
