--- a/tests/test_meshretrybudget.py
+++ b/tests/test_meshretrybudget.py
@@ -67,6 +67,13 @@
     return sum(start <= at < start + WINDOW_MS for at in times)
 
 
+def assert_within_budget(requests, retries):
+    """Check every window against the ratio of 0.2 and a slack of 20."""
+    for start in retries:
+        counted = max(within(requests, start), within(requests, start - WINDOW_MS))
+        assert within(retries, start) <= 0.2 * counted + 20
+
+
 EVENTS = st.lists(
     st.tuples(
         st.floats(0, 300),
@@ -92,9 +99,7 @@
         requests.append(now)
         while event == "failing" and budgets[daemon].try_spend(len(budgets), now):
             retries.append(now)
-    for start in retries:
-        counted = max(within(requests, start), within(requests, start - WINDOW_MS))
-        assert within(retries, start) <= 0.2 * counted + 20
+    assert_within_budget(requests, retries)
 
 
 # The worst case: each retry makes as many calls as the budget allows for, at the end of its run.
@@ -118,9 +123,7 @@
                 retries.append(now)
         elif event == "failing" and budget.try_spend(len(budgets), now):
             retries.append(now)
-    for start in retries:
-        counted = max(within(requests, start), within(requests, start - WINDOW_MS))
-        assert within(retries, start) <= 0.2 * counted + 20
+    assert_within_budget(requests, retries)
 
 
 def test_calls_of_retries_leave_fewer_tokens_for_retries():
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -224,21 +224,14 @@
     assert ledger.target.runs == []
 
 
-def test_a_late_request_that_expires_within_the_grace_is_served(sidecars):
+# Guards against the refusal of what can still be served: a late request that expires within the
+# grace, and one before its middle, which may run until its end.
+@pytest.mark.parametrize(("whole_s", "left_ms", "work_ms"), ((4.2, 900, 50), (2.6, 8_000, 1_500)))
+def test_a_request_that_ends_within_the_grace_is_served(sidecars, whole_s, left_ms, work_ms):
     portal, ledger = large_answers(sidecars)
-    ledger.target.work_ms = 50
-    with send_late(portal, 1.8, 4.2, left_ms=900) as sock:
+    ledger.target.work_ms = work_ms
+    with send_late(portal, 1.8, whole_s, left_ms) as sock:
         answer = read_all(sock)
     assert answer.startswith(b"HTTP/1.1 200")
     assert portal.wait() == 0
     assert ledger.target.runs == ["late"]
-
-
-# The case that the grace is meant for: what comes before its middle runs until its end.
-def test_a_request_before_the_middle_of_the_grace_is_served(sidecars):
-    portal, ledger = large_answers(sidecars)
-    ledger.target.work_ms = 1_500
-    with send_late(portal, 1.8, 2.6, left_ms=8_000) as sock:
-        answer = read_all(sock)
-    assert answer.startswith(b"HTTP/1.1 200")
-    assert portal.wait() == 0
