--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 HEARTBEAT_MS = 1_500
 METRICS_PORT = 9464
+# After how long the platform starts a process again that has ended.
+RESTART_DELAY_S = 1.0
+# The rule on processes that end by themselves: so often in a day, on so many machines or a tenth.
+MAX_ENDS = 3
+MAX_MACHINES = 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # The bounds of tirglan-mesh, as its settings state them.
@@ -169,6 +174,7 @@
         with contextlib.suppress(OSError):
             handler.send_response(status)
             handler.send_header("Content-Type", "application/json")
+            handler.send_header("Store-Era", "1")
             handler.send_header("Content-Length", str(len(data)))
             handler.end_headers()
             handler.wfile.write(data)
@@ -332,7 +338,8 @@
         attempt = headers.get("x-egret-attempt-id", "")
         if path == "/health":
             status = "200 OK" if self.phase == "ready" else "503 Service Unavailable"
-            sock.sendall(response(status, b"", "", f"X-Egret-Instance: {self.id}"))
+            identity = f"X-Egret-Instance: {self.id}"
+            sock.sendall(response(status, b"", "", identity, *self._notices()))
             return True
         if headers.get("x-egret-expect-instance", self.id) != self.id:
             status = "421 Misdirected Request"
@@ -343,10 +350,21 @@
             f"run      {attempt} at {self.id} ({self.service}, {self.phase}), {len(body)} bytes"
         )
         time.sleep(self.work_ms / 1_000)
+        if self.answers_oddly(sock, attempt):
+            return False
         own = f"{self.service} ran {attempt}".encode()
-        sock.sendall(response("200 OK", own, attempt, f"X-Egret-Stamp: {self.service}.{attempt}"))
+        stamp = f"X-Egret-Stamp: {self.service}.{attempt}"
+        sock.sendall(response("200 OK", own, attempt, stamp, *self._notices()))
         return True
 
+    def answers_oddly(self, sock: socket.socket, attempt: str) -> bool:
+        """Answer as a faulty backend and return True; a sound one doesn't."""
+        return False
+
+    def _notices(self) -> list[str]:
+        """Return the headers with which a backend that leaves says so in each answer."""
+        return [] if self.phase == "ready" else ["Server-Leaving: 1"]
+
 
 def response(status: str, body: bytes, attempt: str, *headers: str) -> bytes:
     """Return the bytes of a backend's answer."""
@@ -453,12 +471,14 @@
         self.machines: list[Machine] = []
         self.backends: list[Backend] = []
 
-    def add(self, zone: str, service: str, work_ms: float = 20.0, slots: int = 9) -> Machine:
-        """Add a machine with its backend; its daemon isn't started yet."""
+    def add(
+        self, zone: str, service: str, work_ms: float = 20.0, slots: int = 9, kind: type = Backend
+    ) -> Machine:
+        """Add a machine with its backend of `kind`; its daemon isn't started yet."""
         machine = Machine(self, len(self.machines) + 1, zone)
         machine.service = service
         self.machines.append(machine)
-        self.backends.append(Backend(machine, service, work_ms, slots))
+        self.backends.append(kind(machine, service, work_ms, slots))
         return machine
 
     def start(self) -> None:
@@ -510,6 +530,61 @@
         return status, data
 
 
+class MemoryLimit:
+    """End a daemon that exceeds its memory and start it again, as the platform does."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self.ends = {machine.name: 0 for machine in deployment.machines}
+        self.peaks_mb = {machine.name: 0.0 for machine in deployment.machines}
+        self._stopped = False
+        self._threads = [
+            threading.Thread(target=self._watch, args=(machine,), daemon=True)
+            for machine in deployment.machines
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self._stopped = True
+        for thread in self._threads:
+            thread.join()
+
+    def broken(self) -> str:
+        """Return what broke the rule on processes that end by themselves, if anything did."""
+        self._deployment.record.write(f"ends     {self.ends}, peaks in MB {self.peaks_mb}")
+        often = [name for name, ends in self.ends.items() if ends >= MAX_ENDS]
+        if len(often) < max(MAX_MACHINES, len(self.ends) / 10):
+            return ""
+        return f"{len(often)} daemons ended {MAX_ENDS} times or more: {self.ends}"
+
+    def _watch(self, machine: Machine) -> None:
+        limit_mb = self._deployment.memory_mb
+        while not self._stopped:
+            time.sleep(0.005)
+            used_mb = resident_mb(machine.popen.pid)
+            self.peaks_mb[machine.name] = max(self.peaks_mb[machine.name], round(used_mb))
+            if used_mb <= limit_mb:
+                continue
+            self._deployment.record.write(
+                f"over     {machine.name} uses {used_mb:.0f} MB of {limit_mb} MB and is ended"
+            )
+            machine.end()
+            self.ends[machine.name] += 1
+            time.sleep(RESTART_DELAY_S)
+            machine.start()
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB of 2**20 bytes; 0 if it has ended."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
 def ask(
     address: tuple[str, int],
     method: str,
