--- a/review/standins.py
+++ b/review/standins.py
@@ -420,7 +420,12 @@
         new.replace(self.settings)
 
     def start(self) -> None:
-        """Start the daemon with the command of the deploy file."""
+        """Start the daemon with the command of the deploy file, unless the case is over."""
+        with self.deployment.starting:
+            if not self.deployment.over:
+                self._start()
+
+    def _start(self) -> None:
         self.write_settings()
         self.first_start = False
         role = self.deployment.role
@@ -470,6 +475,9 @@
         self.store = Store(*self.store_address)
         self.machines: list[Machine] = []
         self.backends: list[Backend] = []
+        # No daemon is started any more once the case is over.
+        self.over = False
+        self.starting = threading.Lock()
 
     def add(
         self, zone: str, service: str, work_ms: float = 20.0, slots: int = 9, kind: type = Backend
@@ -496,6 +504,8 @@
 
     def end(self) -> None:
         """End all processes that were started, and remove the temporary folder."""
+        with self.starting:
+            self.over = True
         for machine in self.machines:
             machine.end()
         if os.environ.get("KEEP_LOGS"):
