--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,8 +12,8 @@
 # The rule allows five, and one in 500.
 ALLOWED = 5 + REQUESTS / 500
 HEAD_BYTES = 10_000
-# The second part of the head comes this much later, as after a lost packet.
-RESENT_AFTER_S = 0.2
+# The second part of the head comes this much later.
+SECOND_PART_AFTER_S = 0.2
 
 
 def head(attempt: str) -> bytes:
@@ -38,7 +38,7 @@
         deployment.record.write(f"sent     {attempt} {split} of {len(data)} bytes")
         sock.sendall(data[:split])
         if split < len(data):
-            time.sleep(RESENT_AFTER_S)
+            time.sleep(SECOND_PART_AFTER_S)
             sock.sendall(data[split:])
         answer = sock.recv(4_096)
     status = int(answer.split()[1])
