--- a/egretworks/config.py
+++ b/egretworks/config.py
@@ -200,6 +200,39 @@
             description="Retries of the whole mesh per window in addition to the ratio.",
         ),
     ]
+    strict_revoke: Annotated[
+        bool,
+        Meta(description="Whether revoked keys must stop working at every daemon in `revoke_ms`."),
+    ] = False
+    revoke_ms: Annotated[
+        PositiveMs, Meta(description="Time in which a revoked key must stop working, in ms.")
+    ] = 5_000
+    quota_window_ms: Annotated[
+        PositiveMs, Meta(description="Time window of the teams' quotas, in ms.")
+    ] = 5_000
+    quota_overshoot: Annotated[
+        float,
+        Meta(ge=0, description="Share by which a team may exceed its quota within a window."),
+    ] = 0.0
+    quota_slack: Annotated[
+        float,
+        Meta(ge=0, description="Requests of a team per window in addition to its quota."),
+    ] = 0.0
+    canary_share: Annotated[
+        float,
+        Meta(gt=0, le=1, description="Share of a service's requests for an unproved version."),
+    ] = 0.1
+    canary_slack: Annotated[
+        float, Meta(ge=0, description="Requests for an unproved version beyond that share.")
+    ] = 0.0
+    rollback_ms: Annotated[
+        PositiveMs,
+        Meta(description="Time in which a bad version must get no more requests, in ms."),
+    ] = 5_000
+    link_mbps: Annotated[
+        float,
+        Meta(ge=0, description="Bandwidth of the instance's network line, in Mbit/s; 0 for none."),
+    ] = 0.0
 
 
 class SidecarSettings(Section):
--- a/egretworks/configholder.py
+++ b/egretworks/configholder.py
@@ -12,6 +12,7 @@
 from egretworks.linkframes import ConfigCopy, ConfigDelta, ConfigRequest, Frame
 from egretworks.meshroutes import CallerLimits, MeshConfig, RouteIndex, check_config
 from egretworks.streams import Timer, call_later
+from egretworks.teams import TeamIndex
 from egretworks.timeline import Timeline
 from egretworks.types import NO_VERSION, InstanceId, ServiceName, Version
 
@@ -58,14 +59,22 @@
         self._delta_by_base: dict[Version, ConfigDelta] = {}
         # Set while a request to a peer is scheduled or unanswered.
         self._request_timer: Timer | None = None
+        self._newest_known = NO_VERSION
         self.config: MeshConfig | None = None
         self.index = RouteIndex(())
+        # None if the configuration in force defines no teams.
+        self.teams: TeamIndex | None = None
 
     @property
     def version(self) -> Version:
         """Return the version in force, or `NO_VERSION`."""
         return self.config.version if self.config else NO_VERSION
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether a peer has a newer version than the one in force."""
+        return self._newest_known > self.version
+
     @property
     def limits(self) -> CallerLimits:
         """Return the limits on callers, or the defaults while there is no configuration."""
@@ -80,6 +89,15 @@
         known = self.config.services_by_name.get(service) if self.config else None
         return known.health_path if known else None
 
+    def has(self, document: bytes) -> bool:
+        """Return whether the configuration in `document`, or a newer one, is in force."""
+        if document == self._document:
+            return True
+        try:
+            return self._decode(document).version <= self.version
+        except ConfigInvalid:
+            return False
+
     def apply(self, document: bytes, source: str) -> bool:
         """Put the configuration in `document` into force if it is valid and newer.
 
@@ -102,6 +120,7 @@
         self._keep(document, config.version)
         self.config = config
         self.index = RouteIndex(config.routes)
+        self.teams = None if config.teams is None else TeamIndex(config.teams)
         self._timeline.record(
             "config_in_force",
             version=config.version,
@@ -158,6 +177,7 @@
         once would fill this daemon's link.
         """
         peer.peer_version = Version(version)
+        self._newest_known = max(self._newest_known, peer.peer_version)
         if version <= self.version or self._request_timer is not None:
             return
         # A daemon without a configuration cannot serve callers, so it does not wait.
--- a/egretworks/edge.py
+++ b/egretworks/edge.py
@@ -11,15 +11,17 @@
 
 from egretworks.httpwire import Headers, Request, Response
 from egretworks.meshroutes import MeshConfig
-from egretworks.types import CallId, Endpoint, ServiceName, TargetId, TargetState
+from egretworks.types import CallId, Endpoint, ServiceName, TargetId, TargetState, TeamName
 
 
 class CallHead(msgspec.Struct, frozen=True):
-    """Hold the id and deadline that a caller states for its request."""
+    """Hold the id, deadline and key that a caller states for its request."""
 
     id: CallId
     # Milliseconds until the deadline; None if the caller states none.
     left_ms: float | None
+    # The key of the caller's team; empty if there is none. Never logged.
+    key: str = ""
 
 
 class TargetHead(msgspec.Struct, frozen=True):
@@ -32,6 +34,8 @@
     caller: ServiceName
     # The intended target; any other one at the address must decline the request.
     target: TargetId
+    # The team of the caller; empty if the request has none.
+    team: TeamName = TeamName("")
 
 
 class AnswerMetadata(msgspec.Struct, frozen=True):
@@ -71,6 +75,8 @@
     slots: int
     state: TargetState
     cold_left_ms: float
+    # Version of the target's software.
+    version: str = ""
 
 
 class Departure(msgspec.Struct, frozen=True):
@@ -85,10 +91,13 @@
     """Translate between the platform's wire formats and the daemon's types."""
 
     def read_head(self, request: Request) -> CallHead:
-        """Return the id and deadline of the request, or raise `BadRequest`."""
+        """Return the id, deadline and key of the request, or raise `BadRequest`."""
 
-    def forwarded_headers(self, request: Request) -> Headers:
-        """Return the headers of the caller that are passed to a target unchanged."""
+    def forwarded_headers(self, request: Request, *, keyed: bool) -> Headers:
+        """Return the headers of the caller that are passed to a target unchanged.
+
+        `keyed` tells whether requests carry keys of teams, which no target may see.
+        """
 
     def target_headers(self, head: TargetHead) -> Headers:
         """Return the headers that the daemon adds for a target."""
--- a/egretworks/exceptions.py
+++ b/egretworks/exceptions.py
@@ -164,6 +164,14 @@
     not_run = True
 
 
+class UnknownKey(CallError):
+    """Report a request whose key no team holds, on a route that requires one."""
+
+    code = "call.unknown_key"
+    http_status = 401
+    not_run = True
+
+
 class NotReady(CallError):
     """Report a daemon that cannot accept the call: it is starting or out of connections."""
 
--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -15,6 +15,7 @@
 from egretworks.exceptions import AttemptTimeout, CallError, OutcomeUnknown, Overloaded
 from egretworks.httpport import HttpExchange
 from egretworks.httpwire import Response, error_response
+from egretworks.keycheck import KeyCheck
 from egretworks.linkframes import (
     Answered,
     LossReason,
@@ -32,6 +33,7 @@
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
 from egretworks.targetselection import TargetEstimate, select_target
+from egretworks.teams import NO_TEAM, MeshTeam
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
 if TYPE_CHECKING:
@@ -74,6 +76,8 @@
     unspent_since: Millis
     # Holds the requests that run at the local target.
     running_requests: RunningRequests
+    # Decides which callers' keys are accepted.
+    key_check: KeyCheck
 
 
 class AcceptedCall(msgspec.Struct, frozen=True):
@@ -85,6 +89,8 @@
     began: Millis
     # Milliseconds that the caller waits.
     left_ms: float
+    # The team that holds the caller's key, or `NO_TEAM`.
+    team: MeshTeam = NO_TEAM
 
     @property
     def deadline(self) -> Millis:
@@ -119,7 +125,10 @@
         waited_ms = forwarder.caller_timeouts.waited_ms(route.name, accepted.left_ms, now)
         self._objective_at = Millis(now + route.objective_ms - waited_ms)
         self._idempotent = route.repeat is Repeat.IDEMPOTENT
-        self._headers = self._host.edge.forwarded_headers(exchange.request)
+        self._team = accepted.team
+        self._headers = self._host.edge.forwarded_headers(
+            exchange.request, keyed=self._host.config.teams is not None
+        )
         self._tried: list[Destination] = []
         self._offers = 0
         self._call_share = call_share
@@ -182,6 +191,9 @@
             idempotent=self._idempotent,
             retry=self._attempt_count > 0,
             call_share=self._call_share,
+            team=self._team.name,
+            team_priority=self._team.priority,
+            team_weight=self._team.weight,
         )
 
     def _on_outcome(self, outcome: Outcome) -> None:
@@ -320,6 +332,7 @@
             reason=reason,
             route=self._route.name,
             service=self._service,
+            team=self._team.name,
             version=host.config.version,
             took_ms=round(took_ms, 1),
             attempts=self._attempts,
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -88,8 +88,9 @@
                 f"no route of configuration version {host.config.version} matches the request"
             )
         left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
+        team = host.key_check.team_of(head.key, route)
         now, service = host.clock.now(), self.splitter.choose(route)
-        call = AcceptedCall(head.id, route, service, now, left_ms)
+        call = AcceptedCall(head.id, route, service, now, left_ms, team)
         if self.stop is not None and self.stop.is_too_late(now, call.deadline):
             raise NotReady("this daemon stops before the request expires")
         call_share = host.running_requests.attribute(service, Millis(now + left_ms))
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -96,6 +96,7 @@
             incarnation.slots,
             serving,
             incarnation.drain_ends_at is not None,
+            incarnation.version,
         )
 
     def report(self) -> GateReport:
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -139,7 +139,16 @@
     def _handle_ping(self, ping: Ping) -> None:
         self._queued_ms(ping)
         host, rows = self._host, self._host.rows
-        self.send_frame(Pong(host.config.version, host.gate.report(), rows.members, rows.digest))
+        self.send_frame(
+            Pong(
+                host.config.version,
+                host.gate.report(),
+                rows.members,
+                rows.digest,
+                ping.sent_at,
+                host.proof_age_ms(),
+            )
+        )
         host.compare_state(ping, self)
 
     def _handle_hello(self, hello: Hello) -> None:
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -14,9 +14,10 @@
 
 LENGTH_BYTES = 4
 # Version of this build's frames, the first that has `ConfigDelta` and `RowsRequest`, and the first
-# that compares all rows.
-LINK_PROTOCOL = 3
+# that reads `QuotaRequest`, `QuotaGrant` and `FramePart`.
+LINK_PROTOCOL = 4
 DELTA_PROTOCOL = 2
+PARTS_PROTOCOL = 4
 # Large enough for a request or response with the largest permitted body and headers.
 MAX_FRAME_BYTES = 80_000_000
 
@@ -109,6 +110,12 @@
     retry: bool = False
     # Probability that a target makes the request in a retry, see `RunningRequests`.
     call_share: Probability = 0.0
+    # The team of the caller; empty if it has none.
+    team: str = ""
+    # The priority of the team, which goes before that of the route.
+    team_priority: int = 0
+    # The weight of the team in the fair share of the target's time.
+    team_weight: float = 1.0
 
     @property
     def retry_share(self) -> float:
@@ -173,6 +180,10 @@
     members: int = 0
     # Digest of the rows that the sender knows; 0 from an older build.
     rows_digest: int = 0
+    # `sent_at` of the ping that is answered; None from an older build.
+    ping_sent_at: float | None = None
+    # How long ago `config_version` was certainly the newest one in the store; None if unknown.
+    proof_age_ms: float | None = None
 
 
 class Rows(msgspec.Struct, array_like=True, frozen=True, tag=9):
@@ -219,6 +230,50 @@
     serials: list[int]
 
 
+class TeamTokens(msgspec.Struct, array_like=True, frozen=True):
+    """Count quota tokens of a team, each of which is spent on one request."""
+
+    team: str
+    tokens: float
+
+
+class TeamGrant(msgspec.Struct, array_like=True, frozen=True):
+    """Hand out quota tokens of a team; fewer than requested if it is over its quota."""
+
+    team: str
+    tokens: int
+    # When the team will probably have tokens again, if fewer were granted.
+    retry_after_ms: float = 0.0
+
+
+class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag=15):
+    """Deposit quota tokens in a pool that the receiver keeps, and withdraw some."""
+
+    serial: int
+    pool: int
+    # Time for which the sender deposits its share of the rates of all teams.
+    minted_ms: float
+    wanted: list[TeamTokens] = []
+    # Tokens of requests that have certainly not run.
+    returned: list[TeamTokens] = []
+
+
+class QuotaGrant(msgspec.Struct, array_like=True, frozen=True, tag=16):
+    """Answer a `QuotaRequest` that wants tokens."""
+
+    serial: int
+    granted: list[TeamGrant]
+
+
+class FramePart(msgspec.Struct, array_like=True, frozen=True, tag=17):
+    """Carry a part of a large encoded frame, so that other frames can be sent in between."""
+
+    # Number of the frame among those that this end has sent in parts.
+    stream: int
+    last: bool
+    data: bytes
+
+
 Outcome = Answered | Refused | Lost
 Frame = (
     Hello
@@ -235,6 +290,9 @@
     | OutcomeQuery
     | ConfigDelta
     | RowsRequest
+    | QuotaRequest
+    | QuotaGrant
+    | FramePart
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -9,8 +9,9 @@
 
 from egretworks.bytebudget import ByteBudget
 from egretworks.calllog import CallLog
-from egretworks.clock import Clock
+from egretworks.clock import Clock, Millis
 from egretworks.configholder import ConfigHolder, ConfigPeer
+from egretworks.freshness import ConfigFreshness
 from egretworks.gate import Gate
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
@@ -64,6 +65,7 @@
     on_own_row_changed: Callable[[DaemonRow], None]
     # Called with the target that an earlier run of this daemon last described.
     on_earlier_target: Callable[[TargetRow], None]
+    freshness: ConfigFreshness
 
     def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
         """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
@@ -84,6 +86,16 @@
             self.rows.digest,
         )
 
+    def proof_age_ms(self) -> float | None:
+        """Return the age of the proof for the version in force, if there are keys to revoke."""
+        return None if self.config.teams is None else self.freshness.age_ms()
+
+    def receive_proof(self, pong: Pong) -> None:
+        """Take over the proof in the answer to a ping; it dates from when that ping was sent."""
+        if pong.proof_age_ms is not None and pong.ping_sent_at is not None:
+            at = Millis(pong.ping_sent_at - pong.proof_age_ms)
+            self.freshness.prove(Version(pong.config_version), at)
+
     def compare_state(self, frame: Hello | Ping | Pong, link: LinkEnd) -> None:
         """Request what the peer has, as `frame` shows, and this daemon has not."""
         self.config.on_peer_version(frame.config_version, link)
--- a/egretworks/meshroutes.py
+++ b/egretworks/meshroutes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from egretworks.exceptions import ConfigInvalid
+from egretworks.teams import MeshTeam, check_teams
 from egretworks.types import Repeat, RouteName, ServiceName, Version
 
 # The fractional part of the golden ratio: its multiples modulo 1 form a low-discrepancy sequence,
@@ -36,6 +37,8 @@
     # Maximum number of targets that one request may be sent to.
     max_attempts: int
     split: tuple[Share, ...]
+    # Whether requests need no key of a team, where the configuration defines teams.
+    anonymous: bool = False
 
 
 class MeshService(msgspec.Struct, frozen=True):
@@ -64,10 +67,12 @@
     routes: tuple[MeshRoute, ...]
     services_by_name: dict[ServiceName, MeshService]
     limits: CallerLimits = CallerLimits()
+    # None if the configuration defines no teams, so that no request needs a key.
+    teams: tuple[MeshTeam, ...] | None = None
 
 
 def check_config(config: MeshConfig, valid: MeshConfig | None = None) -> None:
-    """Raise `ConfigInvalid` if a route is invalid or two routes have the same host and prefix.
+    """Raise `ConfigInvalid` if a route or team is invalid, or two have the same match or key.
 
     Routes that `config` shares with `valid`, a configuration that was checked before, are not
     checked again if the services are the same.
@@ -84,6 +89,7 @@
                 f" and prefix {route.prefix!r}"
             )
         seen.add(key)
+    check_teams(config.teams or ())
 
 
 def _identities_of_checked_routes(config: MeshConfig, valid: MeshConfig | None) -> set[int]:
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -269,6 +269,7 @@
             round_trip_ms = self._host.clock.now() - self._last_ping_at
             self._delay_ms += (round_trip_ms - self._delay_ms) * DELAY_GAIN
             self._update_report(frame.report)
+            self._host.receive_proof(frame)
             self._host.compare_state(frame, self)
         elif isinstance(frame, Hello):
             self._handle_hello(frame)
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -20,7 +20,7 @@
 from egretworks.runningrequests import RunningRequest
 from egretworks.targetconnections import Exchange, ExchangeFailure
 from egretworks.targettracker import TargetIncarnation
-from egretworks.types import CallId, RouteName, ServiceName
+from egretworks.types import CallId, RouteName, ServiceName, TeamName
 
 if TYPE_CHECKING:
     from egretworks.gate import Gate
@@ -100,7 +100,11 @@
             self._host.metrics.count("gate_retries_run")
         left_ms = max(1.0, self._entry.expires_at - self._started)
         head = TargetHead(
-            CallId(offer.call), int(left_ms), ServiceName(offer.caller), self._incarnation.id
+            CallId(offer.call),
+            int(left_ms),
+            ServiceName(offer.caller),
+            self._incarnation.id,
+            TeamName(offer.team),
         )
         host = next((value for name, value in offer.headers if name == b"host"), b"")
         data = encode_request(offer, host.decode("latin-1"), self._host.edge.target_headers(head))
--- a/egretworks/rows.py
+++ b/egretworks/rows.py
@@ -29,6 +29,8 @@
     serving: bool
     # True once the target has announced, or stated in an answer, that it leaves.
     leaving: bool = False
+    # Version of the target's software; empty from an older build.
+    version: str = ""
 
 
 class DaemonRow(msgspec.Struct, frozen=True, array_like=True):
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -22,11 +22,13 @@
 from egretworks.exceptions import BadRequest, SettingsError
 from egretworks.forwardedcall import ForwardHost
 from egretworks.forwarding import Forwarder
+from egretworks.freshness import ConfigFreshness, RevocationBound
 from egretworks.gate import Gate, GateHost
 from egretworks.gauges import GaugeSources, read_gauges
 from egretworks.httpport import HttpExchange, HttpPort
 from egretworks.httpwire import Response, error_response
 from egretworks.inboundlinks import InboundLink
+from egretworks.keycheck import KeyCheck
 from egretworks.linkhost import LinkHost
 from egretworks.linkset import LinkSet
 from egretworks.membersync import MemberSync
@@ -35,9 +37,10 @@
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.plannedstop import planned_stop
-from egretworks.rows import DaemonRow, RowTable, is_store_watcher
+from egretworks.rows import DaemonRow, RowTable
 from egretworks.settingsreload import ReloadableSettings
-from egretworks.storesync import CONFIG_NAME, ConfigWatch, PeerDiscovery, Store, Stored
+from egretworks.storeclients import StoreClients
+from egretworks.storesync import Store
 from egretworks.streams import Listener, Stream, call_later, use_time_since_boot
 from egretworks.timeline import Timeline
 from egretworks.types import DataCentre, Endpoint, InstanceId, ServiceName, parse_endpoint
@@ -103,6 +106,8 @@
         self._calls = CallLog(self._timeline, self._clock)
         self._rows = RowTable(own_row)
         self._config = ConfigHolder(edge.decode_config, self._timeline, self._on_config_applied)
+        self._freshness = ConfigFreshness(self._clock, lambda: self._config.version)
+        self._revocation = RevocationBound(self._revoke_ms)
         self._answer_budget = ByteBudget(int(memory_bytes * ANSWER_MEMORY_FRACTION))
         self._gate = Gate(
             GateHost(
@@ -137,6 +142,7 @@
             lambda rows: self._links.pass_on(rows),
             lambda row: self._links.publish(row),
             self._gate.apply_earlier_target,
+            self._freshness,
         )
         self._links = LinkSet(self._link_host, self._config.services)
         self._forwarder = Forwarder(self._forward_host())
@@ -195,6 +201,7 @@
             self._retry_bounds,
             self._unspent_since(),
             self._gate.running_requests,
+            KeyCheck(self._config, self._freshness, self._revocation),
         )
 
     def _unspent_since(self) -> Millis:
@@ -202,6 +209,10 @@
         first_start = settings.instance.first_start
         return Millis(now - settings.bounds.retry_window_ms) if first_start else now
 
+    def _revoke_ms(self) -> float | None:
+        bounds = self._settings.bounds
+        return bounds.revoke_ms if bounds.strict_revoke else None
+
     def _retry_bounds(self) -> RetryBounds:
         bounds = self._settings.bounds
         return RetryBounds(bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack)
@@ -334,40 +345,10 @@
             port.sweep()
 
     def _run_store_clients(self) -> None:
-        store = self._connect_store(self._settings.platform.address)
-        discovery = PeerDiscovery(
-            store,
-            lambda: self._rows.own,
-            self._rows.all_rows,
-            self._link_host.merge_rows,
-            self._is_store_watcher,
-            self._timeline,
-            self._random,
-        )
-        watch = ConfigWatch(
-            store,
-            self._apply_configs,
-            self._is_store_watcher,
-            self._on_store_reachable,
-            self._timeline,
-            self._random,
+        clients = StoreClients(
+            self._link_host, self._links, self._freshness, self._revocation, self._random
         )
-        eventlet.spawn_n(watch.run)
-        discovery.run()
-
-    def _is_store_watcher(self) -> bool:
-        return is_store_watcher(self._rows.own, self._links.reachable_rows())
-
-    def _on_store_reachable(self, reachable: bool) -> None:
-        self._links.publish(self._rows.change_own(store_reachable=reachable))
-
-    def _apply_configs(self, objects: tuple[Stored, ...]) -> None:
-        """Apply the newest valid configuration in `objects` and send it within the data centre."""
-        for stored in reversed(objects):
-            usable = stored.name == CONFIG_NAME and not stored.deleted
-            if usable and self._config.apply(stored.document, f"store revision {stored.revision}"):
-                self._links.send_config()
-                return
+        clients.run(lambda: self._connect_store(self._settings.platform.address))
 
     def _drain(self) -> None:
         """Leave the rotation, wait for in-flight requests until the grace period ends, and stop."""
--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -9,16 +9,17 @@
 import eventlet
 import msgspec
 
-from egretworks.clock import seconds
+from egretworks.clock import Clock, Millis, seconds
 from egretworks.decoding import DECODE_ERRORS
 from egretworks.exceptions import (
     ObjectConflict,
     PlatformError,
     WatchCompacted,
 )
+from egretworks.freshness import ConfigFreshness
 from egretworks.rows import DaemonRow
 from egretworks.timeline import Timeline
-from egretworks.types import RandomSource
+from egretworks.types import RandomSource, Version
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
@@ -87,21 +88,61 @@
         """Replace an object if it is still at `revision`, or raise `ObjectConflict`."""
 
 
+class ConfigProofs:
+    """Prove by reads of the store that the version in force is the newest one."""
+
+    def __init__(
+        self,
+        freshness: ConfigFreshness,
+        version: Callable[[], Version],
+        renew_after_ms: Callable[[], float | None],
+        clock: Clock,
+    ) -> None:
+        """`renew_after_ms` returns the age at which a proof is renewed, None if none is needed."""
+        self._freshness = freshness
+        self._version = version
+        self._renew_after_ms = renew_after_ms
+        self._clock = clock
+
+    def now(self) -> Millis:
+        """Return the time from which a read that begins now proves something."""
+        return self._clock.now()
+
+    def needed(self) -> bool:
+        """Return whether the newest proof is too old."""
+        renew_after_ms = self._renew_after_ms()
+        age_ms = self._freshness.age_ms()
+        return renew_after_ms is not None and (age_ms is None or age_ms > renew_after_ms)
+
+    def add(self, began: Millis, waited_ms: float) -> None:
+        """Record a read that began at `began` and has shown no newer version.
+
+        A watch without an event that lasted for all of `waited_ms` shows that there was none until
+        then; one that was cut short shows it for its beginning only.
+        """
+        lasted = self._clock.now() - began >= waited_ms
+        at = Millis(began + waited_ms) if lasted else began
+        self._freshness.prove(self._version(), at)
+
+
 class ConfigWatch:
     """Watch the configuration in the store while this daemon is elected to do so.
 
-    `apply` gets each batch of changed objects. `is_watcher` returns whether this daemon is the
-    elected watcher. `on_reachable` gets whether the store is reachable, whenever that changes.
+    `apply` gets each batch of changed objects and returns whether the newest version is in force
+    then. `proofs`, if given, are told of each read that shows this. `is_watcher` returns whether
+    this daemon is the elected watcher. `on_reachable` gets whether the store is reachable, whenever
+    that changes.
     """
 
     def __init__(
         self,
         store: Store,
-        apply: Callable[[tuple[Stored, ...]], None],
+        apply: Callable[[tuple[Stored, ...]], bool],
         is_watcher: Callable[[], bool],
         on_reachable: Callable[[bool], None],
         timeline: Timeline,
         random: RandomSource,
+        proofs: ConfigProofs | None = None,
     ) -> None:
         self._store = store
         self._apply = apply
@@ -113,15 +154,19 @@
         self._era = 0
         self._initial_read_done = False
         self._reachable = True
+        self._proofs = proofs
+        # Whether the newest version that was read is in force.
+        self._up_to_date = False
 
     def run(self) -> None:
         """Read the configuration once, then watch it while elected; never returns.
 
-        A daemon that cannot reach the store keeps trying even if it is not elected.
+        A daemon that cannot reach the store keeps trying even if it is not elected, and one that
+        lacks a recent proof reads the store itself.
         """
         pause_ms = RETRY_MS
         while True:
-            if self._initial_read_done and self._reachable and not self._is_watcher():
+            if self._initial_read_done and self._reachable and not self._is_due():
                 eventlet.sleep(seconds(ELECTION_POLL_MS))
                 continue
             try:
@@ -142,6 +187,10 @@
                 eventlet.sleep(seconds(pause_ms * (1 + self._random.random())))
                 pause_ms = min(MAX_RETRY_MS, pause_ms * 2)
 
+    def _is_due(self) -> bool:
+        """Return whether this daemon has to read the store."""
+        return self._is_watcher() or (self._proofs is not None and self._proofs.needed())
+
     def _note_era(self) -> None:
         """Forget the last revision if the store has come back from a copy since it was read.
 
@@ -155,17 +204,30 @@
         self._era = era
 
     def _poll(self) -> None:
+        began = self._proofs.now() if self._proofs is not None else Millis(0)
+        wait_ms = 0
         if self._revision is None:
             snapshot = self._store.list(CONFIG_KIND)
             self._era = self._era or self._store.era
         else:
-            wait_ms = LONG_POLL_MS if self._reachable else 0
+            wait_ms = self._wait_ms()
             snapshot = self._store.watch(CONFIG_KIND, self._revision, wait_ms)
         self._revision = snapshot.revision
         if snapshot.objects:
-            self._apply(snapshot.objects)
+            self._up_to_date = self._apply(snapshot.objects)
+        if self._proofs is not None and self._up_to_date:
+            self._proofs.add(began, 0 if snapshot.objects else wait_ms)
+        if snapshot.objects:
             eventlet.sleep(seconds(BATCH_MS))
 
+    def _wait_ms(self) -> int:
+        """Return how long the store may hold the next watch open.
+
+        A daemon that needs a proof, such as one that has just been elected, wants it at once.
+        """
+        needs_proof = self._proofs is not None and self._proofs.needed()
+        return LONG_POLL_MS if self._reachable and not needs_proof else 0
+
     def _set_reachable(self, *, reachable: bool, reason: str = "") -> None:
         if reachable == self._reachable:
             return
--- a/egretworks/targettracker.py
+++ b/egretworks/targettracker.py
@@ -26,6 +26,8 @@
     slots: int
     # Number of the newest heartbeat; older ones are ignored.
     sequence: int = 0
+    # Version of the target's software.
+    version: str = ""
     # A health check has shown that this target answers at the address.
     confirmed: bool = False
     # End of the drain: the target gets no requests from then on. None unless it is leaving.
@@ -67,6 +69,7 @@
                 heartbeat.endpoint,
                 heartbeat.slots,
                 heartbeat.sequence,
+                heartbeat.version,
             )
             self._apply_state(heartbeat, now)
             return True
--- a/tests/linkpipes.py
+++ b/tests/linkpipes.py
@@ -4,6 +4,7 @@
 from egretworks.bytebudget import ByteBudget
 from egretworks.calllog import CallLog
 from egretworks.clock import Millis
+from egretworks.freshness import ConfigFreshness
 from egretworks.inboundlinks import InboundLink
 from egretworks.linkframes import Answered, GateReport, Offer, Refused
 from egretworks.linkhost import LinkHost
@@ -127,6 +128,7 @@
         lambda rows: None,
         lambda row: None,
         lambda target: None,
+        ConfigFreshness(clock, lambda: config.version),
     )
 
 
--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -149,6 +149,7 @@
             Version(1), (), {k.service: MeshService(k.service, "/h", 100) for k in kinds}
         )
         self.index = self
+        self.teams = None
         self._routes = {
             f"/{kind.name}/": MeshRoute(
                 *(kind.name, HOST, f"/{kind.name}/"),
--- a/tests/simdaemons.py
+++ b/tests/simdaemons.py
@@ -12,6 +12,7 @@
 from egretworks.forwarding import Forwarder
 from egretworks.gate import Gate, GateHost
 from egretworks.httpwire import Response
+from egretworks.keycheck import KeyCheck
 from egretworks.linkframes import GateReport
 from egretworks.meshretrybudget import RetryBounds
 from egretworks.metrics import Metrics
@@ -201,6 +202,7 @@
                 lambda: RetryBounds(0.2, 10_000, 60),
                 -10_000.0,
                 self.gate.running_requests,
+                KeyCheck(mesh, None, None),
             )
         )
         self.local = LocalDestination(self.gate, self.id)
--- a/tests/test_edgewire.py
+++ b/tests/test_edgewire.py
@@ -46,7 +46,7 @@
     ]
     head = edge().read_head(request(headers=headers))
     assert (head.id, head.left_ms) == ("a1", 1200.0)
-    passed = {name for name, _ in edge().forwarded_headers(request(headers=headers))}
+    passed = {name for name, _ in edge().forwarded_headers(request(headers=headers), keyed=False)}
     assert passed == {b"host", b"x-egret-attempt-id", b"x-other"}
 
 
--- a/tests/test_linkframes.py
+++ b/tests/test_linkframes.py
@@ -54,8 +54,8 @@
         FrameReader().feed(data)
 
 
-def older_offer():
-    """Return the struct of an offer as builds had it that knew nothing of retries."""
+def older_offer(unknown):
+    """Return the struct of an offer as builds had it that knew nothing of the fields `unknown`."""
     fields = [
         (
             (field.name, field.type, field.default)
@@ -63,19 +63,25 @@
             else (field.name, field.type)
         )
         for field in msgspec.structs.fields(Offer)
-        if field.name not in ("retry", "call_share")
+        if field.name not in unknown
     ]
     return msgspec.defstruct("OlderOffer", fields, array_like=True, frozen=True, tag=2)
 
 
+TEAM_FIELDS = {"team": "t1", "team_priority": 1, "team_weight": 5.0}
+RETRY_FIELDS = {"retry": True, "call_share": 0.5}
+
+
 # Guards against daemons of two builds that close their links while an update is under way.
-def test_offers_of_daemons_that_know_nothing_of_retries_are_read_both_ways():
-    offer = msgspec.structs.replace(OFFER, retry=True, call_share=0.5)
-    older = older_offer()
+@pytest.mark.parametrize("new_fields", [TEAM_FIELDS, RETRY_FIELDS | TEAM_FIELDS])
+def test_offers_of_daemons_of_an_older_build_are_read_both_ways(new_fields):
+    offer = msgspec.structs.replace(OFFER, **new_fields)
+    older = older_offer(new_fields.keys())
     values = {name: getattr(offer, name) for name in older.__struct_fields__}
     assert msgspec.msgpack.decode(encode_frame(offer)[LENGTH_BYTES:], type=older) == older(**values)
     (read,) = FrameReader().feed(encode_frame(older(**values)))
-    assert read == msgspec.structs.replace(offer, retry=False, call_share=0.0)
+    defaults = {name: getattr(OFFER, name) for name in new_fields}
+    assert read == msgspec.structs.replace(offer, **defaults)
 
 
 @pytest.mark.parametrize("share", (-0.1, 1.1, float("nan")))
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -118,7 +118,7 @@
         for request in requests:
             head = platform_edge.read_head(request)
             assert head.left_ms is None or head.left_ms >= 0
-            forwarded = platform_edge.forwarded_headers(request)
+            forwarded = platform_edge.forwarded_headers(request, keyed=True)
             offer = msgspec.structs.replace(OFFER, headers=forwarded, method=request.method)
             encode_frame(offer)
             host = request.header(b"host")
