Take no response whose status no protocol defines for an answer

Cause: statuses 000 to 099 counted as interim, so that the request waited for another response until its deadline; 600 to 999 were passed on to the caller; interim responses had no end; the client of the store took 1xx for a success. Change: a status outside 100 to 599, and 101, which nobody asks for, make the response unusable: the connection is closed and the outcome unknown (502). At most 32 interim responses are skipped.

--- a/egretworks/responsereader.py
+++ b/egretworks/responsereader.py
@@ -16,6 +16,12 @@
 )
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# More interim (1xx) responses to one request than this have no end, as far as can be told.
+MAX_INTERIM_RESPONSES = 32
+# The statuses that RFC 9110 defines, by class.
+VALID_STATUSES = range(100, 600)
+# The status with which a server takes up another protocol, which no request asks for.
+SWITCHING_PROTOCOLS = 101
 
 
 class ResponseReader(MessageReader):
@@ -38,6 +44,7 @@
         self._matches = matches
         self._skipped = False
         self._interim = False
+        self._interim_count = 0
         self.response: Response | None = None
         super().__init__(limits)
         self._parser = httptools.HttpResponseParser(self)
@@ -62,7 +69,10 @@
 
     def on_headers_complete(self) -> None:
         """Complete the response to a HEAD request, which has no body."""
-        self._interim = self._parser.get_status_code() < 200
+        status = self._parser.get_status_code()
+        if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
+            raise MalformedMessage(f"unexpected status {status:03}")
+        self._interim = status < 200
         if self._is_head or not self._may_have_body():
             self._content_length = None
         super().on_headers_complete()
@@ -73,6 +83,9 @@
         """Complete the response, or skip an interim (1xx) one."""
         self._in_body = False
         if self._interim:
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise MalformedMessage(f"over {MAX_INTERIM_RESPONSES} interim responses")
             self._begin_next()
         elif not self._is_head:
             self._complete(keep_alive=self._parser.should_keep_alive())
--- a/egretworks/storehttp.py
+++ b/egretworks/storehttp.py
@@ -51,7 +51,7 @@
 
 
 class StoreResponse(msgspec.Struct, frozen=True):
-    """Hold a complete response with a status below 300."""
+    """Hold a complete response with a 2xx status."""
 
     headers: Mapping[str, str]
     data: bytes
@@ -121,7 +121,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
     ) -> StoreResponse:
-        """Return the response if its status is below 300, or raise a `PlatformError`.
+        """Return the response if its status is 2xx, or raise a `PlatformError`.
 
         No response, status 429 and statuses from 500 raise `PlatformUnavailable`, and a response
         without end `ResponseTooLong`.
@@ -144,9 +144,11 @@
             raise PlatformUnavailable(f"{method} {path}: {error}") from error
         if self._on_headers is not None:
             self._on_headers(response.headers)
-        if response.status < 300:
+        if 200 <= response.status < 300:
             return StoreResponse(response.headers, data)
-        kind = PlatformUnavailable if response.status >= 500 else PlatformError
+        # A status below 200 is interim, and not the one that was asked for.
+        unavailable = response.status >= 500 or response.status < 200
+        kind = PlatformUnavailable if unavailable else PlatformError
         kind = _ERROR_BY_STATUS.get(response.status, kind)
         raise kind(f"{method} {path}: status {response.status}")
 
