--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -11,6 +11,7 @@
 from egretworks.clock import Clock
 from egretworks.configholder import ConfigHolder
 from egretworks.forwarding import Forwarder
+from egretworks.freshness import ConfigFreshness
 from egretworks.gate import Gate
 from egretworks.metrics import Gauge
 from egretworks.rows import RowTable
@@ -29,6 +30,7 @@
     answer_budget: ByteBudget
     # Returns the number of links to other daemons that accept offers.
     links_up: Callable[[], int]
+    freshness: ConfigFreshness
     # Returns the number of log lines dropped since the start.
     lines_dropped: Callable[[], int]
 
@@ -53,6 +55,12 @@
     yield Gauge(
         "config_version", "configuration version in force, 0 for none", sources.config.version
     )
+    proof_age_ms = sources.freshness.age_ms()
+    yield Gauge(
+        "config_proof_age_ms",
+        "time since that version was certainly the newest one in the store, -1 if unknown",
+        -1.0 if proof_age_ms is None else proof_age_ms,
+    )
     yield Gauge("daemons_known", "known daemons, including this one", sources.rows.size)
     yield Gauge("links_up", "links to other daemons that accept offers", sources.links_up())
     yield Gauge(
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -155,6 +155,7 @@
             self._body_budget,
             self._answer_budget,
             lambda: self._links.usable_count,
+            self._freshness,
             lambda: log_handler.dropped,
         )
         self._open_ports()
--- a/tests/platformwire.py
+++ b/tests/platformwire.py
@@ -62,6 +62,20 @@
     ).encode()
 
 
+def team_document(version, teams):
+    """Return a configuration with `teams`: rows of name, keys, priority, rate and burst.
+
+    Requests for /give/ need a key, and those for /view/ don't.
+    """
+    config = json.loads(config_document(version))
+    routes = config["routes"]
+    routes["columns"] = [*routes["columns"], "allowAnonymous"]
+    routes["rows"] = [[*row, row[0] == "view"] for row in routes["rows"]]
+    columns = ["name", "apiKeys", "priority", "ratePerS", "burst"]
+    config["tenants"] = {"columns": columns, "rows": teams}
+    return json.dumps(config).encode()
+
+
 def heartbeat_body(address, service="ledger", state="ready", sequence=1, born=1_000, slots=12):
     """Return the body of a target's heartbeat in the platform's format."""
     return json.dumps(
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -32,6 +32,11 @@
 retry_ratio = 0.2
 retry_window_ms = 10000
 retry_slack = 60
+strict_revoke = true
+revoke_ms = 5000
+quota_window_ms = 5000
+quota_overshoot = 0.1
+quota_slack = 20
 """
 
 
@@ -170,9 +175,13 @@
         except OSError:
             return False
 
-    def call(self, path, host="pool.example", id="a1", method="GET", left_ms=2_000, body=None):
+    def call(
+        self, path, host="pool.example", id="a1", method="GET", left_ms=2_000, body=None, key=None
+    ):
         """Send a caller's request and return its status, headers and body."""
         headers = {"Host": host, "X-Egret-Attempt-Id": id, "X-Egret-Deadline-Ms": str(left_ms)}
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
         return ask(self.ports["calls"], method, path, body=body, headers=headers)
 
     def events(self, kind):
--- a/tests/test_configdelta.py
+++ b/tests/test_configdelta.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from platformwire import team_document
 
 from egretworks.configdelta import apply_edits, digest, encode_edits, split
 from egretworks.exceptions import PeerError
@@ -30,6 +31,17 @@
     assert len(encode_edits(base, split(rows(numbers), base))) < 100
 
 
+# Guards against all keys of all teams on the way between daemons whenever one key changes.
+def test_a_changed_key_costs_little_whatever_the_number_of_teams():
+    def teams(changed_key):
+        rows = [[f"t{n}", [f"key-{n}-a", f"key-{n}-b"], 1, 5, 5] for n in range(500)]
+        rows[250][1][0] = changed_key
+        return team_document(1, rows)
+
+    base = split(teams("old"))
+    assert len(encode_edits(base, split(teams("new"), base))) < 150
+
+
 def test_pieces_that_did_not_change_are_shared_with_the_base():
     base = split(rows(range(10)))
     pieces = split(rows(range(1, 10)), base)
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -1,10 +1,8 @@
 """Test which keys are accepted, and what targets and logs get to see of them."""
 
-import json
-
 import pytest
 from linkpipes import FakeTimeline
-from platformwire import COLUMNS, config_document, edge
+from platformwire import config_document, edge, team_document
 
 from egretworks.configholder import ConfigHolder
 from egretworks.edge import TargetHead
@@ -15,10 +13,6 @@
 from egretworks.meshroutes import check_config
 from egretworks.teams import NO_TEAM
 
-ROUTES = [
-    ["pay", "pool.example", "/pay/", "non_idempotent", 1200, 300, 0, "ledger", 2, None, False],
-    ["look", "pool.example", "/look/", "idempotent", 600, 200, 0, "ledger", 2, None, True],
-]
 TEAMS = [["north", ["k1", "k2"], 0, 20, 30], ["south", ["k3"], 1, None, None]]
 
 
@@ -29,14 +23,6 @@
         return self.now_ms
 
 
-def document(version=1, teams=TEAMS):
-    config = json.loads(config_document(version, ROUTES))
-    config["routes"]["columns"] = [*COLUMNS, "allowAnonymous"]
-    columns = ["name", "apiKeys", "priority", "ratePerS", "burst"]
-    config["tenants"] = {"columns": columns, "rows": teams}
-    return json.dumps(config).encode()
-
-
 class Checked:
     """A key check with a proof of the age `proof_age_ms`; keys stop working after 5 s."""
 
@@ -44,14 +30,14 @@
         self.clock = Clock()
         self.clock.now_ms = 100_000.0
         self.holder = ConfigHolder(edge().decode_config, FakeTimeline(), lambda: None)
-        self.holder.apply(config or document(), "test")
+        self.holder.apply(config or team_document(1, TEAMS), "test")
         self.freshness = ConfigFreshness(self.clock, lambda: self.holder.version)
         if proof_age_ms is not None:
             self.freshness.prove(self.holder.version, self.clock.now_ms - proof_age_ms)
         bound = RevocationBound(lambda: revoke_ms)
         self.check = KeyCheck(self.holder, self.freshness, bound)
 
-    def team_of(self, key, route="/pay/"):
+    def team_of(self, key, route="/give/"):
         return self.check.team_of(key, self.holder.index.find("pool.example", route))
 
 
@@ -75,9 +61,9 @@
 
 def test_an_anonymous_route_needs_no_key_but_names_the_team_of_a_known_one():
     checked = Checked(proof_age_ms=None)
-    assert checked.team_of("", "/look/") is NO_TEAM
-    assert checked.team_of("nobody's", "/look/") is NO_TEAM
-    assert checked.team_of("k3", "/look/").name == "south"
+    assert checked.team_of("", "/view/") is NO_TEAM
+    assert checked.team_of("nobody's", "/view/") is NO_TEAM
+    assert checked.team_of("k3", "/view/").name == "south"
 
 
 def test_without_teams_no_key_is_needed_and_nothing_is_kept_back():
@@ -117,7 +103,7 @@
 def test_a_key_that_moves_to_another_team_stands_for_that_one():
     checked = Checked()
     moved = [["north", ["k2"], 0, 20, 30], ["south", ["k3", "k1"], 1, None, None]]
-    checked.holder.apply(document(2, moved), "test")
+    checked.holder.apply(team_document(2, moved), "test")
     checked.freshness.prove(2, checked.clock.now_ms)
     assert checked.team_of("k1").name == "south"
 
@@ -131,7 +117,7 @@
 )
 def test_a_key_of_two_teams_and_a_team_defined_twice_make_a_configuration_invalid(teams):
     with pytest.raises(ConfigInvalid):
-        check_config(edge().decode_config(document(1, teams)))
+        check_config(edge().decode_config(team_document(1, teams)))
 
 
 # Guards against keys that targets, or whoever reads the logs, could use.
@@ -141,13 +127,13 @@
         (b"authorization", b"Token k1"),
         (b"x-egret-tenant", b"forged"),
     ]
-    request = Request("GET", b"/pay/1", headers, b"", True)
+    request = Request("GET", b"/give/1", headers, b"", True)
     platform_edge = edge()
     assert platform_edge.read_head(request).key == "k1"
     assert platform_edge.forwarded_headers(request, keyed=True) == [(b"host", b"pool.example")]
     target = platform_edge.target_headers(TargetHead("a1", 800, "portal", "i-7f", "north"))
     assert (b"X-Egret-Tenant", b"north") in target
-    config = platform_edge.decode_config(document(1, [["north", ["s3cret"], 0, 1, 1]]))
+    config = platform_edge.decode_config(team_document(1, [["north", ["s3cret"], 0, 1, 1]]))
     assert "s3cret" not in repr(config)
 
 
