--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -20,6 +20,12 @@
 PARTS_PROTOCOL = 4
 # Large enough for a request or response with the largest permitted body and headers.
 MAX_FRAME_BYTES = 80_000_000
+# Largest encoded frame that is sent whole to a peer that reads parts: 26 ms at 5 Mbit/s.
+MAX_WHOLE_BYTES = 16_384
+# Frames of which a peer may have sent some parts but not all, and their size without the largest.
+# An end of a link that exceeds this is disconnected.
+MAX_PARTIAL_FRAMES = 16
+MAX_INTERLEAVED_BYTES = 4_000_000
 
 
 class RefusalReason(IntEnum):
@@ -272,6 +278,8 @@
     stream: int
     last: bool
     data: bytes
+    # The rest of the frame is not sent, and what was received of it is discarded.
+    aborted: bool = False
 
 
 Outcome = Answered | Refused | Lost
@@ -305,6 +313,14 @@
     return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
 
 
+def decode_frame(payload: bytes | bytearray) -> Frame:
+    """Return the frame encoded in `payload`, or raise `PeerError`."""
+    try:
+        return _decoder.decode(payload)
+    except DECODE_ERRORS as error:
+        raise PeerError(f"cannot decode frame: {error}") from error
+
+
 class FrameReader:
     """Split a received byte stream into frames, buffering an incomplete one."""
 
@@ -326,13 +342,7 @@
             end = start + LENGTH_BYTES + length
             if end > len(self._buffer):
                 break
-            frames.append(self._decode(start + LENGTH_BYTES, end))
+            frames.append(decode_frame(bytes(memoryview(self._buffer)[start + LENGTH_BYTES : end])))
             start = end
         del self._buffer[:start]
         return frames
-
-    def _decode(self, start: int, end: int) -> Frame:
-        try:
-            return _decoder.decode(bytes(memoryview(self._buffer)[start:end]))
-        except DECODE_ERRORS as error:
-            raise PeerError(f"cannot decode frame: {error}") from error
