Send large frames of links in parts, at the rate of the line

Cause: a frame of 540 KB holds every other frame of its link up for 0.9 s on a line of 5 Mbit/s. LinkStream now queues frames of more than 16 KB for peers that read parts, and hands out the next part once the connection has accepted everything before it. TCP_NOTSENT_LOWAT keeps the socket's share small. Cancel drops what has not been sent of a response or an offer; a link that ends drops it too, and offers that were not sent completely are refused, as they have certainly not run. What waits counts as unsent for offers, backlogs and planned stops.

--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -31,6 +31,8 @@
     links_up: Callable[[], int]
     # Returns the number of log lines dropped since the start.
     lines_dropped: Callable[[], int]
+    # Returns the bytes of large frames that wait to be sent over links.
+    link_queued_bytes: Callable[[], int]
 
 
 def read_gauges(sources: GaugeSources) -> Iterable[Gauge]:
@@ -47,7 +49,7 @@
     )
     yield Gauge(
         "answers_held_bytes",
-        "bytes of targets' answers that are arriving",
+        "bytes of targets' answers that are arriving, and of large frames on links",
         sources.answer_budget.reserved,
     )
     yield Gauge(
@@ -55,6 +57,11 @@
     )
     yield Gauge("daemons_known", "known daemons, including this one", sources.rows.size)
     yield Gauge("links_up", "links to other daemons that accept offers", sources.links_up())
+    yield Gauge(
+        "link_queue_bytes",
+        "bytes of large frames that wait to be sent to other daemons",
+        sources.link_queued_bytes(),
+    )
     yield Gauge(
         "store_reachable",
         "whether this daemon can reach the store",
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -10,6 +10,7 @@
 from egretworks.exceptions import PeerError
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
+    PARTS_PROTOCOL,
     Cancel,
     Frame,
     Hello,
@@ -62,7 +63,7 @@
 
     def __init__(self, host: LinkHost, stream: Stream) -> None:
         self._host = host
-        self._stream = LinkStream(stream, host.metrics, host.timeline)
+        self._stream = LinkStream(stream, host.metrics, host.timeline, host.line)
         self._transit = TransitEstimator()
         self._in_flight_by_serial: dict[int, _InFlight] = {}
         self._peer_incarnation = UNKNOWN_PEER
@@ -82,7 +83,7 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Return the number of buffered bytes that the connection has not accepted yet."""
+        """Return the number of bytes that wait to be sent, in the queue or the connection."""
         return self._stream.unsent_bytes
 
     def on_data(self, data: bytes) -> None:
@@ -99,6 +100,7 @@
     def on_end(self, *, clean: bool) -> None:
         """Cancel idempotent requests; keep track of the others, which may run only once."""
         self._ended = True
+        self._stream.close()
         self._host.inbound_links.discard(self)
         requests, self._in_flight_by_serial = self._in_flight_by_serial, {}
         for request in requests.values():
@@ -109,12 +111,19 @@
 
     def abort(self) -> None:
         """Close the link now and handle its requests as if the connection had been lost."""
-        self._stream.close()
         self.on_end(clean=False)
 
     def send_frame(self, frame: Frame) -> None:
-        """Send `frame`, unless the peer has not sent the byte that selects the coding yet."""
-        self._stream.send(frame)
+        """Send `frame`, unless the peer has not sent the byte that selects the coding yet.
+
+        A response is lost if there is no memory for it, as with a peer that stops reading.
+        """
+        if not self._stream.send(frame):
+            self._host.metrics.count("link_answers_dropped")
+            self._host.calls.failure(
+                "answer_dropped", "", daemon=self.peer, unsent_bytes=self.unsent_bytes
+            )
+            self._stream.send(Lost(frame.serial, LossReason.BROKEN, frame.report))
 
     def close(self) -> None:
         """Close the link once all pending data has been sent."""
@@ -127,6 +136,9 @@
             request = self._in_flight_by_serial.pop(frame.serial, None)
             if request is not None:
                 self._cancel(request)
+            else:
+                # The rest of a response that has been given already.
+                self._stream.drop(frame.serial)
         elif isinstance(frame, Ping):
             self._handle_ping(frame)
         elif isinstance(frame, Hello):
@@ -157,6 +169,7 @@
         self._stream.peer = self.peer
         self.near = hello.row.data_centre == host.rows.own.data_centre
         self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
+        self._stream.reads_parts = hello.protocol >= PARTS_PROTOCOL
         self._queued_ms(hello)
         self.send_frame(host.hello(self.peer, hello.protocol))
         host.receive_rows([hello.row, *hello.rows])
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -26,6 +26,7 @@
     Rows,
     RowsRequest,
 )
+from egretworks.linkline import LinkLine
 from egretworks.membersync import MemberPeer, MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
@@ -66,6 +67,8 @@
     # Called with the target that an earlier run of this daemon last described.
     on_earlier_target: Callable[[TargetRow], None]
     freshness: ConfigFreshness
+    # Shared by all links for frames that are sent in parts.
+    line: LinkLine
 
     def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
         """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -11,6 +11,7 @@
 from egretworks.linkcoding import CompressedCoding, PlainCoding
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
+    PARTS_PROTOCOL,
     Answered,
     Cancel,
     Frame,
@@ -23,6 +24,7 @@
     OutcomeQuery,
     Ping,
     Pong,
+    RefusalReason,
     Refused,
 )
 from egretworks.linkhost import LinkHost
@@ -60,6 +62,8 @@
 MAX_RECONNECT_MS = 1_500
 # Backpressure: a peer that stops reading gets no more offers once this much is unsent.
 MAX_UNSENT_BYTES = 4_000_000
+# Suggested delay before a request is retried for which the queue of the link had no memory.
+QUEUE_MEMORY_WAIT_MS = 100.0
 # If a broken link is not up again within this time, its non-idempotent requests are lost as well.
 RESOLVE_TIMEOUT_MS = 700
 # Used until the peer has sent its first report.
@@ -81,8 +85,9 @@
     """Offer requests to another daemon's target over one persistent connection.
 
     Each request in flight gets exactly one outcome, unless it is cancelled. When the link breaks,
-    idempotent requests are lost at once. The outcomes of the others are queried after a reconnect;
-    if the link is not up again within `RESOLVE_TIMEOUT_MS`, they are lost too.
+    requests that have not been sent completely are refused and idempotent ones are lost at once.
+    The outcomes of the others are queried after a reconnect; if the link is not up again within
+    `RESOLVE_TIMEOUT_MS`, they are lost too.
     """
 
     def __init__(
@@ -145,12 +150,14 @@
         serial = self._serial
         self._in_flight_by_serial[serial] = _Request(reply, offer.idempotent)
         sent_at = self._host.clock.now()
-        self._send(msgspec.structs.replace(offer, serial=serial, sent_at=sent_at))
+        if not self._send(msgspec.structs.replace(offer, serial=serial, sent_at=sent_at)):
+            del self._in_flight_by_serial[serial]
+            reply(Refused(serial, RefusalReason.BUSY, QUEUE_MEMORY_WAIT_MS, False, self._report))
 
         def cancel() -> None:
             self._unresolved_by_serial.pop(serial, None)
             if self._in_flight_by_serial.pop(serial, None) is not None:
-                self._send(Cancel(serial))
+                self._send_cancel(serial)
 
         return cancel
 
@@ -245,22 +252,28 @@
             self._back_off(now)
             return
         coding = PlainCoding() if self.near else CompressedCoding()
-        self._stream = LinkStream(stream, self._host.metrics, self._host.timeline, coding)
+        host = self._host
+        self._stream = LinkStream(stream, host.metrics, host.timeline, host.line, coding)
         self._stream.peer = self.row.id
         self._last_received_at = now
         # The peer's `Hello` is awaited with the same timeouts as a pong.
         self._awaiting_since = now
         self._stream.start(self)
-        self._send(self._host.hello(self.row.id))
+        self._send(host.hello(self.row.id))
 
     def _back_off(self, now: Millis) -> None:
         self._failures += 1
         pause_ms = min(MAX_RECONNECT_MS, RECONNECT_MS * self._failures)
         self._reconnect_at = Millis(now + pause_ms)
 
-    def _send(self, frame: Frame) -> None:
-        if self._stream is not None:
-            self._stream.send(frame)
+    def _send(self, frame: Frame) -> bool:
+        """Send `frame` if connected; return False if there is no memory for a large offer."""
+        return self._stream is None or self._stream.send(frame)
+
+    def _send_cancel(self, serial: int) -> None:
+        """Cancel an offer at the peer, unless the peer has not received all of it."""
+        if self._stream is not None and not self._stream.drop(serial):
+            self._stream.send(Cancel(serial))
 
     def _handle(self, frame: Frame) -> None:
         if isinstance(frame, Answered | Refused | Lost):
@@ -285,6 +298,7 @@
         self._ready = True
         self._failures = 0
         self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
+        self._stream.reads_parts = hello.protocol >= PARTS_PROTOCOL
         self._host.timeline.record("link_up", target=self.row.id, detail=self.purpose.value)
         self._query_outcomes()
         self._host.compare_state(hello, self)
@@ -303,6 +317,8 @@
         stream, self._stream = self._stream, None
         if stream is None:
             return
+        # Their last parts have not been written, so the peer has certainly not received them.
+        unsent = stream.queued_serials
         stream.close()
         now = self._host.clock.now()
         self._awaiting_since = None
@@ -314,7 +330,9 @@
             self._record_down(reason)
         requests, self._in_flight_by_serial = self._in_flight_by_serial, {}
         for serial, request in requests.items():
-            if request.idempotent:
+            if serial in unsent:
+                request.reply(Refused(serial, RefusalReason.CANCELLED, 0.0, False, self._report))
+            elif request.idempotent:
                 request.reply(Lost(serial, LossReason.LINK_LOST, self._report))
             else:
                 self._unresolved_by_serial[serial] = request
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -29,7 +29,9 @@
 from egretworks.httpwire import Response, error_response
 from egretworks.inboundlinks import InboundLink
 from egretworks.keycheck import KeyCheck
+from egretworks.linepacer import LinePacer
 from egretworks.linkhost import LinkHost
+from egretworks.linkline import LinkLine
 from egretworks.linkset import LinkSet
 from egretworks.membersync import MemberSync
 from egretworks.meshretrybudget import RetryBounds
@@ -65,7 +67,7 @@
 MAX_CONTROL_BODY_BYTES = 65_536
 # Fraction of the memory limit that request bodies may occupy.
 BODY_MEMORY_FRACTION = 0.25
-# Fraction of the memory limit that the bodies of arriving answers may occupy.
+# Fraction of the memory limit that arriving answers, and large frames of links, may occupy.
 ANSWER_MEMORY_FRACTION = 0.25
 # Fraction of the memory limit that heartbeats, readiness checks and metrics may occupy.
 CONTROL_MEMORY_FRACTION = 0.02
@@ -125,6 +127,8 @@
         )
         self._body_budget = ByteBudget(int(memory_bytes * BODY_MEMORY_FRACTION))
         self._control_budget = ByteBudget(int(memory_bytes * CONTROL_MEMORY_FRACTION))
+        pacer = LinePacer(lambda: self._settings.bounds.link_mbps)
+        self._line = LinkLine(pacer, self._clock, self._answer_budget)
         self._local_destination = LocalDestination(self._gate, own_row.id)
         self._link_host = LinkHost(
             self._clock,
@@ -143,6 +147,7 @@
             lambda row: self._links.publish(row),
             self._gate.apply_earlier_target,
             self._freshness,
+            self._line,
         )
         self._links = LinkSet(self._link_host, self._config.services)
         self._forwarder = Forwarder(self._forward_host())
@@ -156,6 +161,7 @@
             self._answer_budget,
             lambda: self._links.usable_count,
             lambda: log_handler.dropped,
+            lambda: self._line.queued_bytes,
         )
         self._open_ports()
 
--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -101,6 +101,16 @@
         self.user = user
         self.resume_reading()
 
+    def limit_unsent(self, size: int) -> None:
+        """Let the socket accept data only while it holds less than about `size` unsent bytes.
+
+        What it does not accept stays here, where it is counted. Without effect on a platform that
+        lacks the option.
+        """
+        option = getattr(socket_module, "TCP_NOTSENT_LOWAT", None)
+        if option is not None:
+            self._sock.setsockopt(socket_module.IPPROTO_TCP, option, size)
+
     def pause_reading(self) -> None:
         """Leave further bytes to the socket, which blocks the peer; its end goes unnoticed."""
         if self._reader is not None:
--- a/tests/linkpipes.py
+++ b/tests/linkpipes.py
@@ -6,8 +6,10 @@
 from egretworks.clock import Millis
 from egretworks.freshness import ConfigFreshness
 from egretworks.inboundlinks import InboundLink
+from egretworks.linepacer import LinePacer
 from egretworks.linkframes import Answered, GateReport, Offer, Refused
 from egretworks.linkhost import LinkHost
+from egretworks.linkline import LinkLine
 from egretworks.membersync import MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
@@ -100,6 +102,9 @@
     def start(self, user):
         self.user = user
 
+    def limit_unsent(self, size):
+        pass
+
     def write(self, data):
         if not self.closed:
             self.pipe.sent_bytes += len(data)
@@ -109,8 +114,8 @@
         self.closed = True
 
 
-def make_host(id, clock, gate, config):
-    """Return the parts of a daemon `id` that its links use."""
+def make_host(id, clock, gate, config, mbps=0):
+    """Return the parts of a daemon `id` with a line of `mbps` that its links use."""
     rows = RowTable(DaemonRow(id, "dc", "127.0.0.1", 1, incarnation=1, serial=0))
     return LinkHost(
         clock,
@@ -129,6 +134,7 @@
         lambda row: None,
         lambda target: None,
         ConfigFreshness(clock, lambda: config.version),
+        LinkLine(LinePacer(lambda: mbps), clock, ByteBudget(50_000_000)),
     )
 
 
--- a/tests/test_linkstream.py
+++ b/tests/test_linkstream.py
@@ -1,7 +1,12 @@
 """Test that a link counts what it sends and logs a backlog once."""
 
+from linkpipes import FakeClock
+
+from egretworks.bytebudget import ByteBudget
+from egretworks.linepacer import LinePacer
 from egretworks.linkcoding import PlainCoding
 from egretworks.linkframes import Cancel, ConfigRequest
+from egretworks.linkline import LinkLine
 from egretworks.linkstream import BACKLOG_BYTES, LinkStream
 from egretworks.metrics import Metrics
 
@@ -25,7 +30,8 @@
 
 def make_link(coding=None):
     stream, metrics, timeline = FakeStream(), Metrics(), FakeTimeline()
-    return LinkStream(stream, metrics, timeline, coding), stream, metrics, timeline
+    line = LinkLine(LinePacer(lambda: 0), FakeClock(), ByteBudget(1_000_000))
+    return LinkStream(stream, metrics, timeline, line, coding), stream, metrics, timeline
 
 
 def test_sent_bytes_are_counted_by_kind_of_frame():
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -29,6 +29,7 @@
     ConfigCopy,
     ConfigDelta,
     ConfigRequest,
+    FramePart,
     FrameReader,
     GateReport,
     Offer,
@@ -88,6 +89,9 @@
     ConfigCopy(2, config_document(2)),
     ConfigDelta(2, 1, 1, b"x"),
     OutcomeQuery([1, 2]),
+    FramePart(1, False, b"x" * 20),
+    FramePart(2, True, encode_frame(OFFER)[4:]),
+    FramePart(1, True, b"", True),
 )
 
 
