--- a/egretworks/linkline.py
+++ b/egretworks/linkline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from egretworks.bytebudget import ByteBudget
@@ -30,10 +31,17 @@
     Each link that can send a part has one turn after the other, at the rate of the pacer.
     """
 
-    def __init__(self, pacer: LinePacer, clock: Clock, budget: ByteBudget) -> None:
+    def __init__(
+        self,
+        pacer: LinePacer,
+        clock: Clock,
+        budget: ByteBudget,
+        schedule: Callable[[float, Callable[[], None]], Timer] = call_later,
+    ) -> None:
         """Let links reserve the large frames that they send or receive in `budget`."""
         self._pacer = pacer
         self._clock = clock
+        self._schedule = schedule
         self._links: set[PartSource] = set()
         # In the order of their turns.
         self._ready: dict[PartSource, None] = {}
@@ -84,7 +92,7 @@
         finally:
             self._sending = False
             if self._ready:
-                self._timer = call_later(max(MIN_TIMER_MS, wait_ms), self._on_timer)
+                self._timer = self._schedule(max(MIN_TIMER_MS, wait_ms), self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
--- a/tests/linkpipes.py
+++ b/tests/linkpipes.py
@@ -114,8 +114,8 @@
         self.closed = True
 
 
-def make_host(id, clock, gate, config, mbps=0):
-    """Return the parts of a daemon `id` with a line of `mbps` that its links use."""
+def make_host(id, clock, gate, config, line=None):
+    """Return the parts of a daemon `id` that its links use; its `line` is not paced by default."""
     rows = RowTable(DaemonRow(id, "dc", "127.0.0.1", 1, incarnation=1, serial=0))
     return LinkHost(
         clock,
@@ -134,7 +134,7 @@
         lambda row: None,
         lambda target: None,
         ConfigFreshness(clock, lambda: config.version),
-        LinkLine(LinePacer(lambda: mbps), clock, ByteBudget(50_000_000)),
+        line or LinkLine(LinePacer(lambda: 0), clock, ByteBudget(50_000_000)),
     )
 
 
