Remove the circular import between linkhost and inboundlinks

LinkHost named InboundLink as the type of its open inbound links, which needed an import under TYPE_CHECKING. What the parts of a daemon need of these links is now the protocol type InboundEnd in linkends.py, below both. No change of behaviour.

--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
 from egretworks.bytebudget import ByteBudget
 from egretworks.calllog import CallLog
 from egretworks.clock import Clock, Millis
-from egretworks.configholder import ConfigHolder, ConfigPeer
+from egretworks.configholder import ConfigHolder
 from egretworks.freshness import ConfigFreshness
 from egretworks.gate import Gate
+from egretworks.linkends import InboundEnd, LinkEnd
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
     LINK_PROTOCOL,
@@ -27,20 +27,13 @@
     RowsRequest,
 )
 from egretworks.linkline import LinkLine
-from egretworks.membersync import MemberPeer, MemberSync
+from egretworks.membersync import MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.rows import DaemonRow, RowTable, TargetRow
 from egretworks.timeline import Timeline
 from egretworks.types import InstanceId, Version
 
-if TYPE_CHECKING:
-    from egretworks.inboundlinks import InboundLink
-
-
-class LinkEnd(ConfigPeer, MemberPeer, Protocol):
-    """An end of a link, over which rows and configurations are exchanged with the peer."""
-
 
 class LinkHost(msgspec.Struct, frozen=True):
     """Give links access to the daemon's state and notify the daemon of changed rows."""
@@ -57,7 +50,7 @@
     body_budget: ByteBudget
     orphaned_offers: OrphanedOffers
     # Open inbound links.
-    inbound_links: set[InboundLink]
+    inbound_links: set[InboundEnd]
     # Called with the rows of other daemons that are new or newer than the known ones.
     on_rows_changed: Callable[[list[DaemonRow]], None]
     # Called with those of them that a peer has sent, and that others may lack.
