Send rows and configurations before responses, and keep the receiver's bounds

Cause: in turns with downloads, a configuration would take longer than in the order of sending, and a pong that overtakes it makes the peer request it again.

--- a/egretworks/framequeue.py
+++ b/egretworks/framequeue.py
@@ -36,14 +36,20 @@
     def unsent_bytes(self) -> int:
         return len(self.payload) - self.sent_bytes
 
+    @property
+    def rank(self) -> tuple[bool, int]:
+        return self.serial is not None, self.unsent_bytes
+
 
 class FrameQueue:
     """Hold the large frames of a link that have not been sent completely.
 
-    The frame with the fewest unsent bytes goes first, which minimises the mean time to completion
-    and the partial frames that the receiver holds. No more frames are started than the receiver
-    accepts: `MAX_PARTIAL_FRAMES`, of which all but the largest have at most `MAX_INTERLEAVED_BYTES`
-    together.
+    Rows and configurations go before offers and outcomes, as a new version must be in force within
+    2.5 s. Among each of these, the frame with the fewest unsent bytes goes first, which minimises
+    the mean time to completion and the partial frames that the receiver holds.
+
+    No more frames are started than the receiver accepts: `MAX_PARTIAL_FRAMES`, of which all but the
+    largest have at most `MAX_INTERLEAVED_BYTES` together.
     """
 
     def __init__(self, budget: ByteBudget) -> None:
@@ -52,16 +58,24 @@
         # In order of arrival, as streams are numbered.
         self._frames_by_stream: dict[int, _QueuedFrame] = {}
         self._started_by_stream: dict[int, _QueuedFrame] = {}
-        # Heap of the size and stream of frames that are not started, and of some that were dropped.
-        self._unstarted: list[tuple[int, int]] = []
+        # Heap of the rank and stream of frames that are not started, and of some that were dropped.
+        self._unstarted: list[tuple[bool, int, int]] = []
         self._last_stream = 0
         self._parts = 0
         self._reserved_bytes = 0
+        # Frames other than offers and outcomes.
+        self._urgent_frames = 0
         # Bytes that have not been handed out yet.
         self.waiting_bytes = 0
 
     def add(self, kind: str, payload: bytes, serial: int | None = None) -> bool:
-        """Add an encoded frame, or return False if there is no memory for it."""
+        """Add an encoded frame, or return False if there is no memory for it.
+
+        `serial` is that of an offer or outcome, and None for other frames. One of these that waits
+        already is not added again: a ping, which overtakes it, can make the peer request it again.
+        """
+        if serial is None and self._is_waiting(kind, payload):
+            return True
         size = len(payload)
         max_bytes = self._budget.limit * MAX_QUEUE_SHARE
         if self._frames_by_stream and self._reserved_bytes + size > max_bytes:
@@ -69,11 +83,12 @@
         if not self._budget.reserve(size):
             return False
         self._reserved_bytes += size
+        self._urgent_frames += serial is None
         self.waiting_bytes += size
         self._last_stream += 1
         frame = _QueuedFrame(kind, payload, serial, self._last_stream)
         self._frames_by_stream[frame.stream] = frame
-        heappush(self._unstarted, (size, frame.stream))
+        heappush(self._unstarted, (*frame.rank, frame.stream))
         return True
 
     def next_part(self, max_bytes: int) -> QueuedPart | None:
@@ -118,11 +133,23 @@
         frames = self._frames_by_stream.values()
         return {frame.serial for frame in frames if frame.serial is not None}
 
+    @property
+    def urgent(self) -> bool:
+        """Return whether a frame other than an offer or outcome waits."""
+        return self._urgent_frames > 0
+
+    def _is_waiting(self, kind: str, payload: bytes) -> bool:
+        return self.urgent and any(
+            frame.serial is None and frame.kind == kind and frame.payload == payload
+            for frame in self._frames_by_stream.values()
+        )
+
     def _remove(self, frame: _QueuedFrame) -> None:
         del self._frames_by_stream[frame.stream]
         self._started_by_stream.pop(frame.stream, None)
         self.waiting_bytes -= frame.unsent_bytes
         self._reserved_bytes -= len(frame.payload)
+        self._urgent_frames -= frame.serial is None
         self._budget.release(len(frame.payload))
         if not self._frames_by_stream:
             self._unstarted.clear()
@@ -135,14 +162,14 @@
         if self._parts % OLDEST_FRAME_INTERVAL == 0 and self._may_continue(oldest):
             return oldest
         candidates = list(self._started_by_stream.values())
-        smallest = self._smallest_unstarted()
-        if smallest is not None and self._may_continue(smallest):
-            candidates.append(smallest)
-        return min(candidates, key=lambda frame: (frame.unsent_bytes, frame.stream))
+        unstarted = self._first_unstarted()
+        if unstarted is not None and self._may_continue(unstarted):
+            candidates.append(unstarted)
+        return min(candidates, key=lambda frame: (frame.rank, frame.stream))
 
-    def _smallest_unstarted(self) -> _QueuedFrame | None:
+    def _first_unstarted(self) -> _QueuedFrame | None:
         while self._unstarted:
-            stream = self._unstarted[0][1]
+            stream = self._unstarted[0][-1]
             frame = self._frames_by_stream.get(stream)
             if frame is not None and stream not in self._started_by_stream:
                 return frame
--- a/egretworks/linkline.py
+++ b/egretworks/linkline.py
@@ -21,6 +21,10 @@
     def queued_bytes(self) -> int:
         """Return the bytes of large frames that wait to be sent in parts."""
 
+    @property
+    def urgent(self) -> bool:
+        """Return whether rows or a configuration wait, which go before offers and outcomes."""
+
     def send_part(self, max_bytes: int) -> bool:
         """Send one part, and return whether another one can be sent at once."""
 
@@ -28,7 +32,8 @@
 class LinkLine:
     """Share the machine's network line among the links of a daemon.
 
-    Each link that can send a part has one turn after the other, at the rate of the pacer.
+    Each link that can send a part has one turn after the other, at the rate of the pacer; those
+    with rows or a configuration to send go first.
     """
 
     def __init__(
@@ -85,7 +90,9 @@
                 if wait_ms:
                     break
                 waited = False
-                link = next(iter(self._ready))
+                link = next(
+                    (ready for ready in self._ready if ready.urgent), next(iter(self._ready))
+                )
                 del self._ready[link]
                 if link.send_part(self._pacer.part_bytes):
                     self._ready[link] = None
--- a/egretworks/linkstream.py
+++ b/egretworks/linkstream.py
@@ -79,6 +79,11 @@
         """Return the bytes of large frames that wait to be sent in parts."""
         return self._queue.waiting_bytes
 
+    @property
+    def urgent(self) -> bool:
+        """Return whether rows or a configuration wait to be sent in parts."""
+        return self._queue.urgent
+
     @property
     def queued_serials(self) -> set[int]:
         """Return the serials of the offers or outcomes that have not been sent completely."""
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -21,6 +21,7 @@
     PARTS_PROTOCOL,
     Answered,
     Cancel,
+    ConfigCopy,
     FramePart,
     FrameReader,
     LossReason,
@@ -47,13 +48,15 @@
     """Record when each frame arrives at the other end of a link."""
 
     def __init__(self, clock, stream, line, coding):
-        self.clock, self.at_by_serial = clock, {}
+        self.clock, self.at_by_serial, self.frames = clock, {}, []
         self.link = LinkStream(stream, Metrics(), FakeTimeline(), line, coding)
         self.link.start(self)
 
     def on_data(self, data):
         for frame in self.link.receive(data):
-            self.at_by_serial[frame.serial] = self.clock.at
+            self.frames.append(frame)
+            if isinstance(frame, Answered):
+                self.at_by_serial[frame.serial] = self.clock.at
 
 
 class Machine:
@@ -139,13 +142,33 @@
     assert machine.took_ms(2, sent_at) < alone_ms * 4 / 3 + MAX_SMALL_WAIT_MS
 
 
+# Guards against a configuration that comes into force late at a daemon with many downloads.
+def test_a_configuration_goes_before_responses_and_is_not_sent_twice():
+    machine = Machine(links=4)
+    for link in machine.links:
+        link.send(answered(1, LARGE_BYTES))
+        link.send(answered(2, 30_000))
+    machine.clock.run_for(100)
+    sent_at, copy = machine.clock.at, ConfigCopy(2, bytes(60_000))
+    received = machine.receivers[3].frames
+    for _ in range(3):
+        machine.links[3].send(copy)
+        machine.clock.run_for(20)
+    while copy not in received:
+        machine.clock.run_for(1)
+    alone_ms = 60_000 / (MBPS * 125)
+    assert machine.clock.at - sent_at < alone_ms * 4 / 3 + MAX_SMALL_WAIT_MS
+    machine.clock.run_for(5_000)
+    assert received.count(copy) == 1 and len(received) == 3
+
+
 # Guards against a large response that is starved by a steady supply of smaller ones.
 def test_the_oldest_response_always_proceeds():
     queue = FrameQueue(ByteBudget(10_000_000))
-    queue.add("answered", bytes(40_000))
+    queue.add("answered", bytes(40_000), 0)
     sizes_by_stream = {}
-    for _ in range(4 * OLDEST_FRAME_INTERVAL):
-        queue.add("answered", bytes(17_000))
+    for serial in range(1, 1 + 4 * OLDEST_FRAME_INTERVAL):
+        queue.add("answered", bytes(17_000), serial)
         part = queue.next_part(10_000).part
         sizes_by_stream[part.stream] = sizes_by_stream.get(part.stream, 0) + len(part.data)
     assert sizes_by_stream[1] == 40_000
@@ -363,13 +386,34 @@
     waiting = list(sizes)
     while waiting or queue.waiting_bytes:
         if waiting and random.random() < 0.3:
-            queue.add("answered", bytes(waiting.pop()))
+            # Sizes may be equal, and an equal frame without a serial is not added again.
+            serial = len(waiting) if random.random() < 0.8 else None
+            queue.add("answered", len(waiting).to_bytes(waiting.pop(), "big"), serial)
         elif (queued := queue.next_part(500_000)) is not None:
             completed += assembler.add(queued.part) is not None
     assert completed == len(sizes)
     assert budget.reserved == 0
 
 
+# Guards against the same where each new frame is smaller than what is left of those before.
+@pytest.mark.parametrize(
+    ("sizes", "part_bytes"),
+    (
+        ([400_000 - 10_000 * number for number in range(30)], 5_000),
+        ([10_000_000, 5_400_000, 1_100_000], 4_500_000),
+    ),
+)
+def test_smaller_frames_are_started_only_within_the_bounds_of_the_receiver(sizes, part_bytes):
+    queue, assembler = FrameQueue(ByteBudget(10**9)), PartAssembler(ByteBudget(10**9))
+    completed = 0
+    for serial, size in enumerate(sizes):
+        queue.add("answered", bytes(size), serial)
+        completed += assembler.add(queue.next_part(part_bytes).part) is not None
+    while (queued := queue.next_part(part_bytes)) is not None:
+        completed += assembler.add(queued.part) is not None
+    assert completed == len(sizes)
+
+
 class BlockingStream:
     """A stream that accepts what is written only while it is not blocked."""
 
@@ -440,6 +484,22 @@
     assert small == sorted(small)
 
 
+# Guards against parts that pile up in a connection, where nothing can go before them.
+def test_no_part_is_written_to_a_connection_that_has_unsent_data():
+    stream = BlockingStream()
+    link = LinkStream(stream, Metrics(), FakeTimeline(), link_line(SimClock(), 0), PlainCoding())
+    link.reads_parts = True
+    link.start(None)
+    stream.block()
+    written = len(stream.written)
+    for serial in range(3):
+        link.send(answered(serial, LARGE_BYTES))
+    assert len(stream.written) == written
+    stream.unblock()
+    assert len(stream.written) > 3 * LARGE_BYTES / MAX_WHOLE_BYTES
+    assert link.unsent_bytes == 0
+
+
 def test_parts_are_counted_under_the_kind_of_their_frame():
     machine = Machine()
     metrics = machine.links[0]._metrics
