--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -1,10 +1,15 @@
 """Test that large frames are sent in parts, hold up no others and never arrive partly."""
 
+import signal
+import threading
+import time
+
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from linkpipes import REPORT, FakeClock, FakeTimeline
+from processes import ask, wait_for
 from simline import MBPS, LineDaemons, SimClock, SimLine, connection, link_line
 
 from egretworks.bytebudget import ByteBudget
@@ -509,3 +514,36 @@
     assert metrics.counts["link_parts_sent"] > LARGE_BYTES / MAX_WHOLE_BYTES
     assert metrics.counts["link_sent_bytes_answered"] > LARGE_BYTES
     assert "link_sent_bytes_framepart" not in metrics.counts
+
+
+# Guards against a pacer that works in virtual time only, and against parts that real daemons lose.
+def test_real_daemons_pace_a_large_response_and_send_small_ones_meanwhile(sidecars):
+    portal, ledger = sidecars.start("portal", "ledger")
+    with ledger.settings.open("a") as settings:
+        settings.write(f"link_mbps = {MBPS}\n")
+    ledger.signal(signal.SIGHUP)
+    wait_for(lambda: ledger.events("settings_reloaded"), "the settings to be reloaded")
+    large = bytes(range(250)) * (LARGE_BYTES // 250)
+    ledger.target.answer = lambda id, _: ledger.target.response(
+        id, large if id == "large" else b"small"
+    )
+    took_s, bodies = [], []
+
+    def download():
+        began = time.monotonic()
+        bodies.append(portal.call("/give/x", id="large", left_ms=5_000)[2])
+        took_s.append(time.monotonic() - began)
+
+    thread = threading.Thread(target=download)
+    thread.start()
+    wait_for(lambda: "large" in ledger.target.runs, "the request to run")
+    for number in range(3):
+        status, _, body = portal.call("/give/x", id=f"small-{number}", left_ms=3_000)
+        assert (status, body, bodies) == (200, b"small", [])
+    thread.join()
+    assert bodies == [large]
+    assert took_s[0] > LARGE_BYTES / (MBPS * 125) / 1_000
+    page = ask(ledger.ports["metrics"], "GET", "/metrics")[2].decode()
+    assert "egret_link_queue_bytes 0.0" in page
+    assert "egret_link_parts_sent_total" in page
+    assert "egret_answers_held_bytes 0.0" in page
