--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -73,3 +73,27 @@
     peers = [socket.create_connection(("127.0.0.1", listener.port)) for _ in range(2)]
     run_hub(lambda: len(streams) == len(peers))
     listener.close()
+
+
+# Guards against data that fills the socket, where later data can't pass it.
+@pytest.mark.skipif(not hasattr(socket, "TCP_NOTSENT_LOWAT"), reason="not on this platform")
+def test_a_socket_with_a_limit_accepts_little_more_than_its_peer_takes():
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    listening.bind(("127.0.0.1", 0))
+    listening.listen()
+    data = bytes(2_000_000)
+    accepted = []
+    for limited in (False, True):
+        ours = socket.create_connection(listening.getsockname())
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        theirs, _ = listening.accept()
+        stream = Stream(ours)
+        if limited:
+            stream.limit_unsent(16_384)
+        stream.write(data)
+        accepted.append(len(data) - stream.unsent_bytes)
+        stream.close()
+        theirs.close()
+    listening.close()
+    assert accepted[1] < 300_000 < accepted[0]
