--- a/egretworks/streams.py
+++ b/egretworks/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
 import socket as socket_module
@@ -109,7 +110,8 @@
         """
         option = getattr(socket_module, "TCP_NOTSENT_LOWAT", None)
         if option is not None:
-            self._sock.setsockopt(socket_module.IPPROTO_TCP, option, size)
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(socket_module.IPPROTO_TCP, option, size)
 
     def pause_reading(self) -> None:
         """Leave further bytes to the socket, which blocks the peer; its end goes unnoticed."""
