Limit a team's requests over the whole mesh

Cause: the teams in force have a rate and a burst, which nothing limited. Change: each daemon mints an equal share of the rates and deposits it with the daemons that keep the pools; a request of a limited team takes one token from a pool before it is offered, and is answered 429 without one. Tokens expire after the time in which the rate fills the burst, so that several daemons that keep one pool can't hand out more together.

--- a/egretworks/exceptions.py
+++ b/egretworks/exceptions.py
@@ -172,6 +172,14 @@
     not_run = True
 
 
+class OverQuota(CallError):
+    """Report a request beyond the quota of its team."""
+
+    code = "call.over_quota"
+    http_status = 429
+    not_run = True
+
+
 class NotReady(CallError):
     """Report a daemon that cannot accept the call: it is starting or out of connections."""
 
--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -12,7 +12,14 @@
 from egretworks.configholder import ConfigHolder
 from egretworks.destinations import Destination
 from egretworks.edge import Edge
-from egretworks.exceptions import AttemptTimeout, CallError, OutcomeUnknown, Overloaded
+from egretworks.exceptions import (
+    AttemptTimeout,
+    CallError,
+    NotReady,
+    OutcomeUnknown,
+    Overloaded,
+    OverQuota,
+)
 from egretworks.httpport import HttpExchange
 from egretworks.httpwire import Response, error_response
 from egretworks.keycheck import KeyCheck
@@ -29,6 +36,7 @@
 from egretworks.meshroutes import MeshRoute
 from egretworks.metrics import Metrics
 from egretworks.pendingoffer import CancelCallback
+from egretworks.quotaclient import QuotaClient, QuotaTicket
 from egretworks.refusals import refusal_response, retry_after_ms
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
@@ -78,6 +86,8 @@
     running_requests: RunningRequests
     # Decides which callers' keys are accepted.
     key_check: KeyCheck
+    # Holds the teams to their quotas; None in tests without quotas.
+    quota: QuotaClient | None = None
 
 
 class AcceptedCall(msgspec.Struct, frozen=True):
@@ -140,8 +150,19 @@
         self._attempts: list[dict[str, object]] = []
         self._cancel_offer: CancelCallback | None = None
         self._ended = False
+        # Holds the token of the request; None if its team has no quota.
+        self._ticket: QuotaTicket | None = None
+        if self._team.limited and self._host.quota is not None:
+            self._ticket = QuotaTicket(self._team, self._on_quota_decided)
         self._timer = call_later(self._deadline - now + DEADLINE_GRACE_MS, self._on_deadline)
 
+    def start(self) -> None:
+        """Offer the request, once it has a token if its team has a quota."""
+        if self._ticket is None:
+            self.offer_next()
+        else:
+            self._host.quota.submit(self._ticket)
+
     def offer_next(self) -> None:
         """Offer the request to the best target that has not been tried yet."""
         now = self._host.clock.now()
@@ -167,12 +188,22 @@
 
     def on_caller_gone(self) -> None:
         """Cancel the request after its caller has disconnected."""
-        if self._end():
+        if self._end(not_run=not self._tried):
             self._host.metrics.count("calls_abandoned")
             self._host.calls.step("call_abandoned", self._id, attempts=self._attempts)
             if self._cancel_offer is not None:
                 self._cancel_offer()
 
+    def _on_quota_decided(self, error: OverQuota | NotReady | None, after_ms: float) -> None:
+        if error is None:
+            self.offer_next()
+        elif isinstance(error, NotReady):
+            self._refuse(NOT_READY_RETRY_AFTER_MS, error.message, error)
+        else:
+            response = refusal_response(error, after_ms)
+            facts = {"pool": self._ticket.pool, "retry_after_ms": round(after_ms)}
+            self._finish("over_quota", error.message, response, **facts)
+
     def _make_offer(self, now: Millis) -> Offer:
         request = self._exchange.request
         return Offer(
@@ -292,11 +323,11 @@
             self._cancel_offer()
         self._fail(AttemptTimeout("no answer before the deadline"))
 
-    def _refuse(self, suggested_ms: float, reason: str) -> None:
+    def _refuse(self, suggested_ms: float, reason: str, error: CallError | None = None) -> None:
         """Answer that the request was not run, unless an earlier attempt may have run it.
 
         `suggested_ms` is the delay before a retry that the gate suggests; it is adjusted to the
-        time that the caller has left.
+        time that the caller has left. `error` is answered, or `Overloaded` without one.
         """
         if self._failed_answer is not None:
             self._deliver(self._failed_answer)
@@ -307,7 +338,8 @@
         now = self._host.clock.now()
         left_ms = self._started + self._initial_left_ms - now
         after_ms = retry_after_ms(suggested_ms, left_ms, self._host.random)
-        self._finish("refused", reason, refusal_response(Overloaded(reason), after_ms))
+        response = refusal_response(error or Overloaded(reason), after_ms)
+        self._finish("refused", reason, response, not_run=True)
 
     def _fail(self, error: CallError) -> None:
         self._finish("failed", error.message, error_response(error))
@@ -316,8 +348,10 @@
         response = Response(answer.status, answer.headers, answer.body)
         self._finish("answered", str(answer.status), response)
 
-    def _finish(self, result: str, reason: str, response: Response) -> None:
-        if not self._end():
+    def _finish(
+        self, result: str, reason: str, response: Response, *, not_run: bool = False, **facts: int
+    ) -> None:
+        if not self._end(not_run=not_run):
             return
         host = self._host
         took_ms = host.clock.now() - self._started
@@ -336,6 +370,7 @@
             version=host.config.version,
             took_ms=round(took_ms, 1),
             attempts=self._attempts,
+            **facts,
         )
         self._exchange.respond(response)
 
@@ -361,11 +396,16 @@
         else:
             attempt["outcome"] = f"{type(outcome).__name__.lower()} {outcome.reason.name.lower()}"
 
-    def _end(self) -> bool:
-        """Mark the call as ended; return False if it had ended before."""
+    def _end(self, *, not_run: bool) -> bool:
+        """Mark the call as ended; return False if it had ended before.
+
+        `not_run` tells that no target has run or will run the request, so that it needs no token.
+        """
         if self._ended:
             return False
         self._ended = True
+        if self._ticket is not None:
+            self._host.quota.end(self._ticket, not_run=not_run)
         self._timer.cancel()
         self._forwarder.in_flight -= 1
         return True
--- a/egretworks/forwarding.py
+++ b/egretworks/forwarding.py
@@ -54,7 +54,7 @@
             return
         self.in_flight += 1
         exchange.on_disconnect = call.on_caller_gone
-        call.offer_next()
+        call.start()
 
     def record_rejection(self, error: CallError, id: CallId = UNKNOWN_CALL_ID) -> None:
         """Count and log a request that is answered with `error` without being offered."""
--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -13,6 +13,7 @@
 from egretworks.forwarding import Forwarder
 from egretworks.gate import Gate
 from egretworks.metrics import Gauge
+from egretworks.quotaclient import QuotaClient
 from egretworks.rows import RowTable
 from egretworks.types import ServiceName
 
@@ -31,6 +32,7 @@
     links_up: Callable[[], int]
     # Returns the number of log lines dropped since the start.
     lines_dropped: Callable[[], int]
+    quota: QuotaClient
 
 
 def read_gauges(sources: GaugeSources) -> Iterable[Gauge]:
@@ -61,6 +63,8 @@
         sources.rows.own.store_reachable,
     )
     yield Gauge("log_lines_dropped", "log lines dropped since the start", sources.lines_dropped())
+    for team, used in sources.quota.uses():
+        yield Gauge("quota_tokens_used", "quota tokens used since the start", used, team, "team")
     for service, count in sorted(serving_targets(sources.rows).items()):
         yield Gauge("targets_serving", "targets known to accept requests", count, service)
     now = sources.clock.now()
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from egretworks import quotapool
 from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
 from egretworks.linkframes import (
@@ -20,6 +21,7 @@
     OutcomeQuery,
     Ping,
     Pong,
+    QuotaRequest,
     RefusalReason,
     Refused,
 )
@@ -133,7 +135,10 @@
             self._handle_hello(frame)
         elif isinstance(frame, OutcomeQuery):
             self._answer_outcome_query(frame.serials)
-        else:
+        elif (
+            not isinstance(frame, QuotaRequest)
+            or self._queued_ms(frame) <= quotapool.MAX_TRANSIT_MS
+        ):
             self._host.handle_state(frame, self, self.peer)
 
     def _handle_ping(self, ping: Ping) -> None:
@@ -162,7 +167,7 @@
         host.receive_rows([hello.row, *hello.rows])
         host.compare_state(hello, self)
 
-    def _queued_ms(self, frame: Hello | Offer | Ping) -> float:
+    def _queued_ms(self, frame: Hello | Offer | Ping | QuotaRequest) -> float:
         """Return how long `frame` was queued on its way; 0 if an older build sent it.
 
         Each frame that is compared keeps the estimate of the shortest transit up to date.
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -235,6 +235,8 @@
 
     team: str
     tokens: float
+    # Of returned tokens: how long ago they came into the pool.
+    age_ms: float = 0.0
 
 
 class TeamGrant(msgspec.Struct, array_like=True, frozen=True):
@@ -244,6 +246,8 @@
     tokens: int
     # When the team will probably have tokens again, if fewer were granted.
     retry_after_ms: float = 0.0
+    # How long ago the oldest of the tokens came into the pool.
+    age_ms: float = 0.0
 
 
 class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag=15):
@@ -256,6 +260,12 @@
     wanted: list[TeamTokens] = []
     # Tokens of requests that have certainly not run.
     returned: list[TeamTokens] = []
+    # The number of daemons that the sender shares the rates with.
+    daemons: int = 0
+    # Whether the pool is to begin with tokens: the sender's first request at its first start.
+    fill: bool = False
+    # When the frame was sent, by the sender's clock.
+    sent_at: float | None = None
 
 
 class QuotaGrant(msgspec.Struct, array_like=True, frozen=True, tag=16):
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -23,6 +23,8 @@
     Hello,
     Ping,
     Pong,
+    QuotaGrant,
+    QuotaRequest,
     Rows,
     RowsRequest,
 )
@@ -66,6 +68,10 @@
     # Called with the target that an earlier run of this daemon last described.
     on_earlier_target: Callable[[TargetRow], None]
     freshness: ConfigFreshness
+    # Called with what another daemon sends as the client or the keeper of a pool of quota tokens.
+    on_quota: Callable[[QuotaRequest | QuotaGrant, LinkEnd, InstanceId], None] = (
+        lambda frame, link, peer: None
+    )
 
     def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
         """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
@@ -102,7 +108,7 @@
         self.member_sync.on_peer_digests(frame.members, frame.rows_digest, link)
 
     def handle_state(self, frame: Frame, link: LinkEnd, peer: InstanceId) -> None:
-        """Handle a frame with rows or a configuration, or a request for them; ignore others."""
+        """Handle a frame about rows, the configuration or quotas; ignore others."""
         if isinstance(frame, Rows):
             self.receive_rows(frame.rows)
         elif isinstance(frame, RowsRequest):
@@ -113,6 +119,8 @@
             self.config.apply_delta(frame, link, peer)
         elif isinstance(frame, ConfigRequest):
             self.config.send_config(link, Version(frame.known_version))
+        elif isinstance(frame, QuotaRequest | QuotaGrant):
+            self.on_quota(frame, link, peer)
 
     def receive_rows(self, rows: list[DaemonRow]) -> None:
         """Merge `rows`, which a peer has sent, and notify the daemon of what changed."""
--- a/egretworks/linkplan.py
+++ b/egretworks/linkplan.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
+from egretworks.quotashare import rank_keepers
 from egretworks.rendezvous import rendezvous
 from egretworks.rows import DaemonRow
 from egretworks.types import DataCentre, InstanceId, ServiceName
@@ -24,6 +25,8 @@
 NEAR_TARGETS = 24
 # Linked targets of a service in all other data centres together.
 FAR_TARGETS = 8
+# Linked daemons for each pool of quota tokens: the one that keeps it, and the next in rank.
+POOL_KEEPERS = 2
 
 IsFailed = Callable[[InstanceId], bool]
 
@@ -35,6 +38,8 @@
     NEAR = "near"
     # Both ends pass rows on between their data centres.
     RELAY = "relay"
+    # The peer keeps a pool of quota tokens, or does so if the daemon fails that keeps it now.
+    POOL = "pool"
     # The peer's target runs requests of a service that this daemon calls.
     SERVICE = "service"
 
@@ -44,9 +49,12 @@
     rows: Collection[DaemonRow],
     services: Iterable[ServiceName],
     is_failed: IsFailed,
+    pools: int = 0,
 ) -> dict[InstanceId, LinkPurpose]:
     """Return the daemons that `own` should have links to, with the purpose of each link.
 
+    `pools` is the number of pools of quota tokens that are in use.
+
     `rows` are those of the other daemons. A daemon whose link `is_failed` keeps its place, as it
     may come back, and the next one in rank is linked beside it.
     """
@@ -55,6 +63,8 @@
     purpose_by_id: dict[InstanceId, LinkPurpose] = {}
     for row in _linked_far_targets(own, far, services, is_failed):
         purpose_by_id[row.id] = LinkPurpose.SERVICE
+    for id in _linked_keepers(own, rows, pools, is_failed):
+        purpose_by_id[id] = LinkPurpose.POOL
     if is_relay(own, near, is_failed):
         for id in _relays_of_others(far, is_failed):
             purpose_by_id[id] = LinkPurpose.RELAY
@@ -119,6 +129,23 @@
     return taken
 
 
+def _linked_keepers(
+    own: DaemonRow, rows: Collection[DaemonRow], pools: int, is_failed: IsFailed
+) -> list[InstanceId]:
+    """Return the daemons that keep the pools, and those that are asked if they don't answer.
+
+    No one is asked after this daemon itself.
+    """
+    ids = [row.id for row in (own, *rows) if not row.leaving]
+    linked = []
+    for pool in range(pools):
+        for id in _take_working(rank_keepers(ids, pool), POOL_KEEPERS, is_failed):
+            if id == own.id:
+                break
+            linked.append(id)
+    return linked
+
+
 def _relays_of_others(far: list[DaemonRow], is_failed: IsFailed) -> list[InstanceId]:
     rows_by_data_centre: defaultdict[DataCentre, list[DaemonRow]] = defaultdict(list)
     for row in far:
--- a/egretworks/linkset.py
+++ b/egretworks/linkset.py
@@ -9,6 +9,7 @@
 from egretworks.linkhost import LinkHost
 from egretworks.linkplan import MAX_NEAR_DAEMONS, LinkPurpose, is_relay, plan_links
 from egretworks.outboundlinks import OutboundLink, ping_stretch
+from egretworks.quotashare import POOLS
 from egretworks.rowrelay import RowPeer, RowRelay
 from egretworks.rows import DaemonRow
 from egretworks.types import InstanceId, ServiceName
@@ -26,16 +27,24 @@
 class LinkSet:
     """Hold the links that this daemon has opened, by the id of the peer.
 
-    `services` returns the services of the configuration in force.
+    `services` returns the services of the configuration in force, and `has_quotas` whether it has
+    teams with a quota.
     """
 
-    def __init__(self, host: LinkHost, services: Callable[[], Collection[ServiceName]]) -> None:
+    def __init__(
+        self,
+        host: LinkHost,
+        services: Callable[[], Collection[ServiceName]],
+        has_quotas: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._host = host
+        self._has_quotas = has_quotas
         self._services = services
         self._called_services: set[ServiceName] = set()
         # What the present plan was made from.
         self._planned_services: frozenset[ServiceName] = frozenset()
         self._planned_failed: frozenset[InstanceId] = frozenset()
+        self._planned_pools = 0
         self._rows_changed = True
         self._next_plan_at = Millis(0)
         self._unplanned_since_by_id: dict[InstanceId, Millis] = {}
@@ -121,17 +130,20 @@
     def _plan_if_changed(self, now: Millis) -> None:
         failed = frozenset(id for id, link in self.links_by_id.items() if link.failed)
         services = self._wanted_services()
+        pools = POOLS if self._has_quotas() else 0
         if (
             not self._rows_changed
             and failed == self._planned_failed
             and services == self._planned_services
+            and pools == self._planned_pools
         ):
             return
         self._rows_changed = False
         self._planned_failed, self._planned_services = failed, services
+        self._planned_pools = pools
         rows = self._host.rows
         purpose_by_id = plan_links(
-            rows.own, rows.rows_by_id.values(), sorted(services), failed.__contains__
+            rows.own, rows.rows_by_id.values(), sorted(services), failed.__contains__, pools
         )
         self._apply(purpose_by_id, now)
         took_ms = self._host.clock.now() - now
--- a/egretworks/metrics.py
+++ b/egretworks/metrics.py
@@ -19,12 +19,16 @@
 
 
 class Gauge(msgspec.Struct, frozen=True):
-    """Hold the current value of a gauge, labelled with `service` unless that is empty."""
+    """Hold the current value of a gauge, labelled with `service` unless that is empty.
+
+    `label` is the name of that label.
+    """
 
     name: str
     description: str
     value: float
     service: str = ""
+    label: str = "service"
 
 
 ReadGauges = Callable[[], Iterable[Gauge]]
@@ -86,7 +90,7 @@
             yield CounterMetricFamily(PREFIX + name, name.replace("_", " "), value=value)
         families: dict[str, GaugeMetricFamily] = {}
         for gauge in self._read_gauges():
-            labels = ["service"] if gauge.service else []
+            labels = [gauge.label] if gauge.service else []
             family = families.get(gauge.name)
             if family is None:
                 family = GaugeMetricFamily(PREFIX + gauge.name, gauge.description, labels=labels)
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -42,6 +42,7 @@
 PING_MS_BY_PURPOSE = {
     LinkPurpose.NEAR: 1_000,
     LinkPurpose.RELAY: 1_000,
+    LinkPurpose.POOL: 1_000,
     LinkPurpose.SERVICE: 2_000,
 }
 # All links of a daemon together send at most this many pings a second while nothing is in flight:
@@ -118,6 +119,8 @@
         # See `ConfigPeer`.
         self.peer_version = NO_VERSION
         self.reads_deltas = False
+        # See `QuotaPeer`.
+        self.peer_protocol = 0
 
     @property
     def name(self) -> InstanceId:
@@ -284,6 +287,7 @@
             return
         self._ready = True
         self._failures = 0
+        self.peer_protocol = hello.protocol
         self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
         self._host.timeline.record("link_up", target=self.row.id, detail=self.purpose.value)
         self._query_outcomes()
--- a/egretworks/refusals.py
+++ b/egretworks/refusals.py
@@ -51,9 +51,9 @@
 
 
 def refusal_response(error: CallError, after_ms: float) -> Response:
-    """Return the response for `error`; a 503 gets a Retry-After in seconds with fractions."""
+    """Return the response for `error`; 429 and 503 get a Retry-After in seconds with fractions."""
     response = error_response(error)
-    if error.http_status != 503:
+    if error.http_status not in (429, 503):
         return response
     headers: Headers = [header for header in response.headers if header[0] != b"Retry-After"]
     headers.append((b"Retry-After", b"%.3f" % (after_ms / MILLIS_PER_SECOND)))
--- a/egretworks/rows.py
+++ b/egretworks/rows.py
@@ -98,6 +98,8 @@
     def __init__(self, own: DaemonRow) -> None:
         self.own = own
         self.rows_by_id: dict[InstanceId, DaemonRow] = {}
+        # Whether the rows in the store have been read since this daemon started.
+        self.listed = False
         # The target of this daemon as an earlier run of the daemon last described it.
         self.earlier_target: TargetRow | None = None
         self._earlier_run: DaemonRow | None = None
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -37,6 +37,8 @@
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.plannedstop import planned_stop
+from egretworks.quotaclient import QuotaClient, QuotaHost
+from egretworks.quotapool import QuotaBounds
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.settingsreload import ReloadableSettings
 from egretworks.storeclients import StoreClients
@@ -143,8 +145,10 @@
             lambda row: self._links.publish(row),
             self._gate.apply_earlier_target,
             self._freshness,
+            lambda frame, link, peer: self._quota.handle(frame, link, peer),
         )
-        self._links = LinkSet(self._link_host, self._config.services)
+        self._links = LinkSet(self._link_host, self._config.services, lambda: self._quota.in_use)
+        self._quota = QuotaClient(self._quota_host())
         self._forwarder = Forwarder(self._forward_host())
         self._gauge_sources = GaugeSources(
             self._clock,
@@ -156,6 +160,7 @@
             self._answer_budget,
             lambda: self._links.usable_count,
             lambda: log_handler.dropped,
+            self._quota,
         )
         self._open_ports()
 
@@ -202,8 +207,25 @@
             self._unspent_since(),
             self._gate.running_requests,
             KeyCheck(self._config, self._freshness, self._revocation),
+            self._quota,
         )
 
+    def _quota_host(self) -> QuotaHost:
+        return QuotaHost(
+            self._clock,
+            self._random,
+            self._metrics,
+            self._rows,
+            lambda: self._config.teams and self._config.teams.teams_by_name,
+            self._quota_bounds,
+            lambda id: self._links.links_by_id.get(id),
+            self._settings.instance.first_start,
+        )
+
+    def _quota_bounds(self) -> QuotaBounds:
+        bounds = self._settings.bounds
+        return QuotaBounds(bounds.quota_window_ms, bounds.quota_overshoot, bounds.quota_slack)
+
     def _unspent_since(self) -> Millis:
         settings, now = self._settings, self._clock.now()
         first_start = settings.instance.first_start
@@ -321,6 +343,7 @@
         if now - due_at > PAUSE_MS:
             self._links.excuse_silence(now - due_at)
         self._links.tick(now)
+        self._quota.tick(now)
 
     def _handle_signals(self) -> None:
         received = signals.take()
--- a/egretworks/storeclients.py
+++ b/egretworks/storeclients.py
@@ -11,7 +11,7 @@
 from egretworks.freshness import ConfigFreshness, RevocationBound
 from egretworks.linkhost import LinkHost
 from egretworks.linkset import LinkSet
-from egretworks.rows import is_store_watcher
+from egretworks.rows import DaemonRow, is_store_watcher
 from egretworks.storesync import (
     CONFIG_NAME,
     ConfigProofs,
@@ -61,7 +61,7 @@
             store,
             lambda: rows.own,
             rows.all_rows,
-            self._link_host.merge_rows,
+            self._merge_stored_rows,
             self._is_watcher,
             self._timeline,
             self._random,
@@ -84,6 +84,10 @@
         """Return the age at which proofs are renewed, None while there are no keys to revoke."""
         return None if self._config.teams is None else self._revocation.renew_after_ms()
 
+    def _merge_stored_rows(self, rows: list[DaemonRow]) -> None:
+        self._link_host.merge_rows(rows)
+        self._link_host.rows.listed = True
+
     def _is_watcher(self) -> bool:
         return is_store_watcher(self._link_host.rows.own, self._links.reachable_rows())
 
