--- a/egretworks/quotashare.py
+++ b/egretworks/quotashare.py
@@ -19,7 +19,7 @@
 # bound, see `quotapool.MAX_LAG_MS`.
 MAX_MINTED_MS = 250.0
 # A daemon whose count of daemons has just changed after its start does not know all of them yet.
-STABLE_MS = 1_000
+STABLE_MS = 300
 # A leaving daemon is counted for this long, since it may be back before its new row arrives.
 LEAVING_COUNTED_MS = 10_000
 
