--- a/egretworks/quotaclient.py
+++ b/egretworks/quotaclient.py
@@ -26,7 +26,7 @@
     TeamTokens,
 )
 from egretworks.metrics import Metrics
-from egretworks.quotapool import GRANT_TIMEOUT_MS, QuotaBounds, QuotaPools
+from egretworks.quotapool import GRANT_TIMEOUT_MS, MAX_TRANSIT_MS, QuotaBounds, QuotaPools
 from egretworks.quotashare import POOLS, QuotaShare, pool_of, rank_keepers, shard_count
 from egretworks.rows import RowTable
 from egretworks.teams import MeshTeam
@@ -238,7 +238,8 @@
             return
         pool.waiting = []
         pool.sent_at = now
-        request = self._make_request(pool, tickets, now)
+        transit_ms = 0.0 if keeper == self._own_id else MAX_TRANSIT_MS
+        request = self._make_request(pool, tickets, now, transit_ms)
         if keeper == self._own_id:
             grant = self._kept.handle(request, keeper, self._share.daemons, now)
             self._settle(tickets, grant, now, now)
@@ -266,8 +267,12 @@
         return self._own_id
 
     def _make_request(
-        self, pool: _Pool, tickets: Iterable[QuotaTicket], now: Millis
+        self, pool: _Pool, tickets: Iterable[QuotaTicket], now: Millis, transit_ms: float
     ) -> QuotaRequest:
+        """Return the request for `pool`, which may be on its way for `transit_ms`.
+
+        Returned tokens are taken for that much older, so that none is renewed on its way.
+        """
         wanted = Counter(ticket.team.name for ticket in tickets)
         returned, pool.returned = pool.returned, []
         return QuotaRequest(
@@ -275,7 +280,10 @@
             pool.number,
             round(self._share.mint(pool.number, now), 3),
             [TeamTokens(team, number) for team, number in wanted.items()],
-            [TeamTokens(ticket.team.name, 1, now - ticket.minted_at) for ticket in returned],
+            [
+                TeamTokens(ticket.team.name, 1, now - ticket.minted_at + transit_ms)
+                for ticket in returned
+            ],
             self._share.daemons,
             self._share.take_fill(pool.number),
             now,
@@ -318,7 +326,7 @@
             self._send_waiting(pool, now)
 
     def _use_local_share(self, pool: _Pool, tickets: list[QuotaTicket], now: Millis) -> None:
-        request = self._make_request(pool, tickets, now)
+        request = self._make_request(pool, tickets, now, 0.0)
         grant = self._local.handle(request, self._own_id, self._share.daemons, now)
         tokens_only = [
             TeamGrant(each.team, each.tokens, 0.0, each.age_ms) for each in grant.granted
--- a/egretworks/quotapool.py
+++ b/egretworks/quotapool.py
@@ -194,8 +194,7 @@
         for returned in request.returned:
             stock = self._stock(stocks, returned.team, now)
             if stock is not None:
-                minted_at = Millis(now - returned.age_ms - MAX_TRANSIT_MS)
-                stock.put_back(returned.tokens, minted_at, now)
+                stock.put_back(returned.tokens, Millis(now - returned.age_ms), now)
         grants = [self._grant(stocks, wanted, now) for wanted in request.wanted]
         return QuotaGrant(request.serial, [grant for grant in grants if grant is not None])
 
