--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -14,6 +14,7 @@
 from egretworks.freshness import ConfigFreshness
 from egretworks.gate import Gate
 from egretworks.metrics import Gauge
+from egretworks.quotaclient import QuotaClient
 from egretworks.rows import RowTable
 from egretworks.types import ServiceName
 
@@ -35,6 +36,7 @@
     lines_dropped: Callable[[], int]
     # Returns the bytes of large frames that wait to be sent over links.
     link_queued_bytes: Callable[[], int]
+    quota: QuotaClient
 
 
 def read_gauges(sources: GaugeSources) -> Iterable[Gauge]:
@@ -76,6 +78,8 @@
         sources.rows.own.store_reachable,
     )
     yield Gauge("log_lines_dropped", "log lines dropped since the start", sources.lines_dropped())
+    for team, used in sources.quota.uses():
+        yield Gauge("quota_tokens_used", "quota tokens used since the start", used, team, "team")
     for service, count in sorted(serving_targets(sources.rows).items()):
         yield Gauge("targets_serving", "targets known to accept requests", count, service)
     now = sources.clock.now()
