--- a/egretworks/linkstream.py
+++ b/egretworks/linkstream.py
@@ -114,7 +114,7 @@
                     yield _decode_assembled(payload)
 
     def send(self, frame: Frame) -> bool:
-        """Send `frame`, unless the peer has not selected the coding yet or the link is closing.
+        """Send `frame`, unless the peer has not selected the coding yet or the link is closed.
 
         Returns False if it is a large offer or outcome for which the queue has no memory. Other
         large frames are few, and are sent whole in that case.
@@ -159,7 +159,11 @@
         return dropped
 
     def close(self) -> None:
-        """Close the connection at once, and drop what has been sent or received in part."""
+        """Close the connection at once, and drop what has been sent or received in part.
+
+        Later frames are dropped too, such as an outcome that was queried over this link.
+        """
+        self._closing = True
         self._line.remove(self)
         self._queue.clear()
         self._assembler.clear()
--- a/tests/test_large_responses.py
+++ b/tests/test_large_responses.py
@@ -256,6 +256,21 @@
     assert daemons.outcomes[-1].body == bytes(LARGE_BYTES)
 
 
+# Guards against memory and line time that a response takes whose link ended while it was awaited.
+def test_a_queried_response_is_dropped_when_its_link_has_ended(monkeypatch):
+    daemons = LineDaemons(monkeypatch)
+    daemons.offer()
+    daemons.clock.run_for(20)
+    for _ in range(2):
+        daemons.break_both()
+        daemons.reconnect()
+    daemons.break_both()
+    sent_bytes = daemons.ends[1].sent_bytes
+    daemons.gate.offers[0].reply(answered(1, LARGE_BYTES))
+    assert_nothing_held(daemons)
+    assert daemons.ends[1].sent_bytes == sent_bytes
+
+
 # Guards against a request that must not be repeated and is reported as possibly run: later small
 # requests overtake it, so that the peer cannot tell that it never arrived.
 def test_a_request_that_was_not_sent_completely_is_refused_when_its_link_ends(monkeypatch):
