Order requests at a gate by team priority and weighted share

Cause: slots went to requests by route priority and objective only. A team at ten times its share delayed all others, and its standing queue got their requests refused. Change: fairshare.py keeps the recently admitted processing time of each team; teams clearly over their weighted share come after the others of their team priority. `gate_refused` names the team and whether it was over its share; the counter gate_over_share_refusals counts such refusals. Without teams every decision is as before (compared on random requests).

--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -33,6 +33,8 @@
 
 # Interval at which waiting requests are checked for expiry and for free slots.
 SWEEP_INTERVAL_MS = 25
+# Refusals that depend on the order in which requests get slots.
+SCHEDULING_REASONS = (RefusalReason.BUSY, RefusalReason.EXPIRED)
 # Weight of the newest result in the moving average of the failure rate.
 FAILURE_RATE_EWMA_GAIN = 0.05
 
@@ -164,6 +166,9 @@
             now,
             Millis(now + offer.objective_left_ms),
             Millis(now + offer.left_ms),
+            offer.team,
+            offer.team_priority,
+            offer.team_weight,
         )
         pending = PendingOffer(self, incarnation, offer, entry, reply)
         decision = self.queue.enter(entry, now)
@@ -199,6 +204,11 @@
         """
         self.host.metrics.count(f"gate_refused_{reason.name.lower()}")
         incarnation = self._tracker.current
+        over_share = self.queue.is_over_share(offer.team, self.host.clock.now())
+        if over_share and reason in SCHEDULING_REASONS:
+            self.host.metrics.count("gate_over_share_refusals")
+        # Lines about requests without a team are as they were before there were teams.
+        team_facts = {"team": offer.team, "over_share": over_share} if offer.team else {}
         self.host.calls.failure(
             "gate_refused",
             offer.call,
@@ -212,6 +222,7 @@
             load=self.queue.load,
             work_ms=round(self.queue.processing_times.mean_of(offer.route), 1),
             room_in_ms=round(retry_after_ms, 1),
+            **team_facts,
         )
         return Refused(offer.serial, reason, retry_after_ms, reached_target, self.report())
 
@@ -343,7 +354,7 @@
 
     def _refuse_expired(self, now: Millis) -> None:
         for entry in self.queue.remove_expired(now):
-            retry_after_ms = self.queue.retry_after_ms(entry.priority, now)
+            retry_after_ms = self.queue.retry_after_ms(entry, now)
             self._pending_by_entry.pop(entry).refuse(RefusalReason.EXPIRED, retry_after_ms)
 
     def _schedule_sweep(self) -> None:
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from egretworks.clock import MILLIS_PER_SECOND, Millis
+from egretworks.fairshare import FairShares
 from egretworks.ratelimit import RateLimit
 
 # Assumed processing time until the first requests have been measured.
@@ -52,6 +53,12 @@
     objective_at: Millis
     # The deadline.
     expires_at: Millis
+    # The team of the caller; empty if it has none.
+    team: str = ""
+    # Lower is more urgent; it goes before the priority of the route.
+    team_priority: int = 0
+    # The weight of the team in the fair share of the target's time.
+    team_weight: float = 1.0
     # The request is refused if it has not started by then; set when it enters a queue.
     latest_start: Millis = Millis(0)
     # Whether it was too late for its objective when it entered the queue.
@@ -107,6 +114,12 @@
     retry_after_ms: float = 0.0
 
 
+# The order of teams, lower first: the priority of the team, and whether it is over its share.
+TeamOrder = tuple[int, bool]
+# The order of requests regardless of their times: the same, and the priority of the route.
+Rank = tuple[int, bool, int]
+
+
 class GateQueue:
     """Count the used slots of one target and hold the requests that wait for one.
 
@@ -120,10 +133,12 @@
         self.processing_times = ProcessingTimes()
         self._waiting: list[QueueEntry] = []
         self._running = 0
-        # Until when late requests are refused at once.
-        self._late_refused_until = Millis(0)
-        # By priority: since when there has always been a waiting request at least as urgent.
-        self._waiting_since: dict[int, Millis] = {}
+        # By the order of teams: until when late requests of this order and higher ones are refused
+        # at once.
+        self._late_refused_until: dict[TeamOrder, Millis] = {}
+        self._shares = FairShares()
+        # By rank: since when there has always been a waiting request of this rank or a lower one.
+        self._waiting_since: dict[Rank, Millis] = {}
 
     @property
     def load(self) -> int:
@@ -146,28 +161,31 @@
 
     def enter(self, entry: QueueEntry, now: Millis) -> AdmissionDecision:
         """Run or queue `entry`, or refuse it if it would start too late."""
+        self._shares.record_arrival(entry.team, entry.team_priority, entry.team_weight, now)
         slot_free = self._running < self.slots
         entry.entered_late = self._is_late(entry, now) and not entry.only_attempt
-        if slot_free and self._is_next(entry) and self.rate_limit.try_take(now):
-            self._running += 1
+        if slot_free and self._is_next(entry, now) and self.rate_limit.try_take(now):
+            self._start(entry, now)
             return AdmissionDecision(run=True)
         entry.latest_start = self._latest_start(entry, now)
         late_ms = now + self._expected_wait_ms(entry, now) - entry.latest_start
         if late_ms > 0:
-            return AdmissionDecision(
-                retry_after_ms=max(late_ms, self.retry_after_ms(entry.priority, now))
-            )
+            return AdmissionDecision(retry_after_ms=max(late_ms, self.retry_after_ms(entry, now)))
         self._waiting.append(entry)
         return AdmissionDecision(wait=True)
 
-    def retry_after_ms(self, priority: int, now: Millis) -> float:
-        """Return after how many milliseconds a refused request should come back.
+    def retry_after_ms(self, entry: QueueEntry, now: Millis) -> float:
+        """Return after how many milliseconds the refused request `entry` should come back.
 
-        It is 0 unless there is a standing queue of requests at least as urgent as `priority`.
+        It is 0 unless there is a standing queue of requests that come before or beside it.
         """
-        standing_ms = now - self._waiting_since.get(priority, now)
+        standing_ms = now - self._waiting_since.get(self._rank(entry, now), now)
         return standing_ms * RETURN_AFTER_STANDING_FACTOR
 
+    def is_over_share(self, team: str, now: Millis) -> bool:
+        """Return whether `team` has recently had clearly more than its share of the target."""
+        return self._shares.is_over(team, now)
+
     def release_slot(self) -> None:
         """Free the slot of a finished request."""
         self._running -= 1
@@ -190,14 +208,27 @@
             return None
         entry = min(self._waiting, key=lambda waiting: self._sort_key(waiting, now))
         self._waiting.remove(entry)
-        self._running += 1
+        self._start(entry, now)
         return entry
 
-    def _is_next(self, entry: QueueEntry) -> bool:
+    def _start(self, entry: QueueEntry, now: Millis) -> None:
+        """Give a free slot to `entry`."""
+        self._running += 1
+        processing_ms = self.processing_times.mean_of(entry.route)
+        self._shares.record_admission(
+            entry.team, entry.team_priority, entry.team_weight, processing_ms, now
+        )
+
+    def _is_next(self, entry: QueueEntry, now: Millis) -> bool:
         """Return whether a free slot goes to `entry`, as nothing waits that comes before it."""
-        if entry.entered_late:
-            return not self._waiting
-        return all(waiting.entered_late for waiting in self._waiting)
+        order = self._team_order(entry, now)
+        for waiting in self._waiting:
+            waiting_order = self._team_order(waiting, now)
+            if waiting_order < order:
+                return False
+            if waiting_order == order and (entry.entered_late or not waiting.entered_late):
+                return False
+        return True
 
     def remove_expired(self, now: Millis) -> list[QueueEntry]:
         """Remove and return the waiting requests whose latest start has passed."""
@@ -205,7 +236,8 @@
         for entry in expired:
             self._waiting.remove(entry)
             if entry.entered_late:
-                self._late_refused_until = Millis(now + LATE_REFUSED_MS)
+                order = self._team_order(entry, now)
+                self._late_refused_until[order] = Millis(now + LATE_REFUSED_MS)
         return expired
 
     def remove_all(self) -> list[QueueEntry]:
@@ -213,14 +245,20 @@
         removed, self._waiting = self._waiting, []
         return removed
 
-    def _sort_key(self, entry: QueueEntry, now: Millis) -> tuple[int, bool, Millis]:
-        """Return the sort key of `entry`: priority, then objective.
+    def _team_order(self, entry: QueueEntry, now: Millis) -> TeamOrder:
+        return (entry.team_priority, self._shares.is_over(entry.team, now))
+
+    def _rank(self, entry: QueueEntry, now: Millis) -> Rank:
+        return (*self._team_order(entry, now), entry.priority)
 
-        Within a priority, requests that will probably miss their objective sort last, except
-        those whose deadline is too short for a retry.
+    def _sort_key(self, entry: QueueEntry, now: Millis) -> tuple[Rank, bool, Millis]:
+        """Return the sort key of `entry`: rank, then objective.
+
+        Within a rank, requests that will probably miss their objective sort last, except those
+        whose deadline is too short for a retry.
         """
         late = self._is_late(entry, now) and not entry.only_attempt
-        return (entry.priority, late, entry.objective_at)
+        return (self._rank(entry, now), late, entry.objective_at)
 
     def _is_late(self, entry: QueueEntry, now: Millis) -> bool:
         """Return whether `entry` will probably miss its objective if it starts now."""
@@ -238,30 +276,41 @@
         backlog_ms += sum(self.processing_times.mean_of(waiting.route) for waiting in ahead)
         return max(turn_ms, backlog_ms / max(1, self.slots))
 
-    def _is_overloaded(self, priority: int, now: Millis) -> bool:
-        """Return whether there is a standing queue of requests at least as urgent as `priority`.
+    def _is_overloaded(self, entry: QueueEntry, now: Millis) -> bool:
+        """Return whether there is a standing queue of requests that come before or beside `entry`.
 
         Requests that entered late don't count, as those in time overtake them.
         """
-        if all(waiting.priority > priority or waiting.entered_late for waiting in self._waiting):
-            self._waiting_since[priority] = now
-        return now - self._waiting_since.setdefault(priority, now) > OVERLOADED_AFTER_MS
+        rank = self._rank(entry, now)
+        if all(
+            waiting.entered_late or self._rank(waiting, now) > rank for waiting in self._waiting
+        ):
+            self._waiting_since[rank] = now
+        return now - self._waiting_since.setdefault(rank, now) > OVERLOADED_AFTER_MS
 
     def _latest_start(self, entry: QueueEntry, now: Millis) -> Millis:
         """Return the latest start of `entry`, which is earlier while there is a standing queue."""
-        latest = self._latest_useful_start(entry)
-        overloaded = self._is_overloaded(entry.priority, now)
+        latest = self._latest_useful_start(entry, now)
+        overloaded = self._is_overloaded(entry, now)
         if overloaded and not entry.only_attempt and not entry.entered_late:
             left_ms = max(0.0, entry.objective_at - entry.arrived)
             return Millis(min(latest, entry.arrived + left_ms * OVERLOADED_WAIT_SHARE))
         return latest
 
-    def _latest_useful_start(self, entry: QueueEntry) -> Millis:
+    def _refuses_late(self, entry: QueueEntry, now: Millis) -> bool:
+        """Return whether `entry` would wait in vain if it is late, as others have done."""
+        order = self._team_order(entry, now)
+        return any(
+            other <= order and entry.arrived < until
+            for other, until in self._late_refused_until.items()
+        )
+
+    def _latest_useful_start(self, entry: QueueEntry, now: Millis) -> Millis:
         """Return the latest start that can still give the caller a useful answer."""
         processing_ms = self.processing_times.mean_of(entry.route)
         in_time = max(entry.arrived, entry.objective_at - processing_ms * PROCESSING_SAFETY_FACTOR)
         late_ms = MAX_LAST_ATTEMPT_DELAY_MS if entry.last_attempt else MAX_START_DELAY_MS
-        if entry.entered_late and entry.arrived >= self._late_refused_until:
+        if entry.entered_late and not self._refuses_late(entry, now):
             left_ms = entry.expires_at - entry.arrived - processing_ms
             late_ms = max(late_ms, left_ms * MAX_LATE_WAIT_SHARE)
         return Millis(
