Define the interfaces of a gate below the modules that use them

Cause: gate.py imported healthchecks.py and pendingoffer.py, which imported Gate and GateHost again for type checking; gate.py mixed admission with the state of the target. Change: gateinterface.py has GateHost, the handles of offers and the protocol that an offer needs of a gate; localtarget.py follows health checks and notices of the target. No behaviour changes.

--- a/egretworks/destinations.py
+++ b/egretworks/destinations.py
@@ -6,8 +6,8 @@
 
 from egretworks.clock import Millis
 from egretworks.gate import Gate
+from egretworks.gateinterface import CancelCallback, Reply
 from egretworks.linkframes import Offer
-from egretworks.pendingoffer import CancelCallback, Reply
 from egretworks.targetselection import TargetEstimate
 from egretworks.types import InstanceId
 
--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -13,6 +13,7 @@
 from egretworks.destinations import Destination
 from egretworks.edge import Edge
 from egretworks.exceptions import AttemptTimeout, CallError, OutcomeUnknown, Overloaded
+from egretworks.gateinterface import CancelCallback
 from egretworks.httpport import HttpExchange
 from egretworks.httpwire import Response, error_response
 from egretworks.keycheck import KeyCheck
@@ -28,7 +29,6 @@
 from egretworks.meshretrybudget import RetryBounds
 from egretworks.meshroutes import MeshRoute
 from egretworks.metrics import Metrics
-from egretworks.pendingoffer import CancelCallback
 from egretworks.refusals import refusal_response, retry_after_ms
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -2,34 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-
-import msgspec
-
-from egretworks.bytebudget import ByteBudget
-from egretworks.calllog import CallLog
-from egretworks.clock import Clock, Millis
-from egretworks.edge import Departure, Edge, Heartbeat, TargetNotice
-from egretworks.gatequeue import GateQueue, QueueEntry
-from egretworks.healthchecks import HealthChecks
-from egretworks.httpwire import Response
-from egretworks.linkframes import GateReport, Offer, RefusalReason, Refused
-from egretworks.metrics import Metrics
-from egretworks.pendingoffer import (
+from egretworks.clock import Millis
+from egretworks.edge import Departure, Heartbeat, TargetNotice
+from egretworks.gateinterface import (
     NOT_SERVING_RETRY_AFTER_MS,
     CancelCallback,
+    GateHost,
     OfferHandle,
-    PendingOffer,
     RefusedOffer,
     Reply,
 )
+from egretworks.gatequeue import GateQueue, QueueEntry
+from egretworks.linkframes import GateReport, Offer, RefusalReason, Refused
+from egretworks.localtarget import LocalTarget
+from egretworks.pendingoffer import PendingOffer
 from egretworks.rows import TargetRow
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
 from egretworks.targetconnections import Exchange, TargetConnections
 from egretworks.targettracker import TargetIncarnation, TargetTracker
-from egretworks.timeline import Timeline
-from egretworks.types import RouteName, ServiceName
+from egretworks.types import RouteName
 
 # Interval at which waiting requests are checked for expiry and for free slots.
 SWEEP_INTERVAL_MS = 25
@@ -39,26 +31,6 @@
 FAILURE_RATE_EWMA_GAIN = 0.05
 
 
-class GateHost(msgspec.Struct, frozen=True):
-    """Hold the parts of the daemon that a gate uses."""
-
-    clock: Clock
-    edge: Edge
-    metrics: Metrics
-    timeline: Timeline
-    calls: CallLog
-    # Returns how long a leaving target may still be sent requests, in milliseconds.
-    drain_ms: Callable[[], float]
-    # Returns the health check path of a service, or None while it is unknown.
-    health_path: Callable[[ServiceName], str | None]
-    # Called after the target's row has changed.
-    on_change: Callable[[], None]
-    # Counts the body bytes of answers that are still arriving.
-    answer_budget: ByteBudget
-    # Returns whether the retry budgets allow the calls that retries are expected to make.
-    allows_calls: Callable[[Mapping[ServiceName, float]], bool]
-
-
 class Gate:
     """Admit requests to the local target and send them.
 
@@ -75,9 +47,9 @@
         self._pending_by_entry: dict[QueueEntry, PendingOffer] = {}
         self._failure_rate = 0.0
         self._sweep_scheduled = False
-        self._health = HealthChecks(host, self._tracker, self.send, self._on_healthy)
-        # The target as an earlier run of this daemon last described it to the others.
-        self._earlier_target: TargetRow | None = None
+        self.target = LocalTarget(
+            host, self._tracker, self.send, self._refuse_waiting, self._apply_limit
+        )
         self.stopping = False
 
     @property
@@ -124,23 +96,16 @@
             return
         if incarnation is not before:
             self._start_incarnation(incarnation)
-            self._continue_leaving()
+            self.target.continue_leaving()
         self.queue.slots = incarnation.slots
         if changed:
-            self._record_change()
-        self.check_health_if_unconfirmed()
+            self.target.record_change()
+        self.target.check_health_if_unconfirmed()
 
     def send(self, exchange: Exchange) -> CancelCallback:
         """Start an exchange with the target and return a callback that aborts it."""
         return self._connections.send(exchange)
 
-    def check_health_if_unconfirmed(self) -> None:
-        """Check the health of a target that is not confirmed yet.
-
-        The path for the check may have become known with a new configuration.
-        """
-        self._health.check_if_unconfirmed()
-
     def offer(self, offer: Offer, reply: Reply) -> OfferHandle:
         """Run, queue or refuse `offer`, and return a handle that can cancel it.
 
@@ -237,76 +202,6 @@
         self.queue = GateQueue(incarnation.slots)
         self._failure_rate = 0.0
 
-    def _record_change(self) -> None:
-        incarnation = self._tracker.current
-        self.host.timeline.record(
-            "target_changed",
-            target=incarnation.id,
-            detail=f"serving={incarnation.serving} slots={incarnation.slots}"
-            f" gone={incarnation.gone} sequence={incarnation.sequence} born={incarnation.born}",
-        )
-        self.host.on_change()
-
-    def _on_healthy(self, incarnation: TargetIncarnation, response: Response) -> None:
-        """Apply the answer of a healthy target to a health check."""
-        id = self.host.edge.healthy_target(response)
-        if self._tracker.confirm(id):
-            self._record_change()
-        if id != incarnation.id:
-            return
-        self._apply_health_notice(incarnation, response)
-        if incarnation.gone:
-            incarnation.gone = False
-            self._record_change()
-
-    def on_unreachable(self, incarnation: TargetIncarnation) -> None:
-        """Mark the target as gone after a connection to it could not be opened."""
-        if incarnation is self._tracker.current and self._tracker.mark_unreachable():
-            self._record_change()
-            self._refuse_waiting()
-            self._health.check_later()
-
-    def on_wrong_target(self, incarnation: TargetIncarnation) -> None:
-        """Mark the target as unconfirmed after another target answered at its address."""
-        if incarnation is self._tracker.current and incarnation.confirmed:
-            incarnation.confirmed = False
-            self._record_change()
-
-    def apply_notice(self, incarnation: TargetIncarnation, response: Response) -> None:
-        """Follow what the target states about itself in an answer; the last answer counts."""
-        if incarnation is not self._tracker.current:
-            return
-        notice = self.host.edge.read_notice(response)
-        if notice.leaving:
-            self._start_leaving()
-        self._apply_limit(incarnation, notice)
-
-    def _apply_health_notice(self, incarnation: TargetIncarnation, response: Response) -> None:
-        """Follow what a health answer states; a limit that it does not state may still hold."""
-        notice = self.host.edge.read_notice(response)
-        if notice.leaving:
-            self._start_leaving()
-        if notice.limit_per_s is not None:
-            self._apply_limit(incarnation, notice)
-
-    def apply_earlier_target(self, earlier: TargetRow) -> None:
-        """Follow what an earlier run of this daemon knew of the target."""
-        self._earlier_target = earlier
-        self._continue_leaving()
-
-    def _continue_leaving(self) -> None:
-        """Send the target nothing if an earlier run of this daemon knew that it leaves."""
-        earlier, incarnation = self._earlier_target, self._tracker.current
-        if earlier is None or incarnation is None or not earlier.leaving:
-            return
-        is_same = (earlier.id, earlier.born) == (incarnation.id, incarnation.born)
-        if is_same and self._tracker.end_drain(self.host.clock.now()):
-            self._record_change()
-
-    def _start_leaving(self) -> None:
-        if self._tracker.start_leaving(self.host.clock.now()):
-            self._record_change()
-
     def _apply_limit(self, incarnation: TargetIncarnation, notice: TargetNotice) -> None:
         if notice.invalid_limit:
             self.host.calls.failure(
--- a/egretworks/healthchecks.py
+++ b/egretworks/healthchecks.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
+from egretworks.gateinterface import GateHost
 from egretworks.httpwire import Response
 from egretworks.streams import call_later
 from egretworks.targetconnections import Exchange, ExchangeFailure
 from egretworks.targettracker import TargetIncarnation, TargetTracker
 
-if TYPE_CHECKING:
-    from egretworks.gate import GateHost
-
 TIMEOUT_MS = 1_000
 # Delays between health checks of an unreachable target. After the last check the gate waits for the
 # next heartbeat.
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -8,6 +8,7 @@
 
 from egretworks.clock import Millis
 from egretworks.exceptions import PeerError
+from egretworks.gateinterface import OfferHandle
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
     Cancel,
@@ -26,7 +27,6 @@
 from egretworks.linkhost import LinkHost
 from egretworks.linkstream import LinkStream
 from egretworks.orphanedoffers import PeerIncarnation
-from egretworks.pendingoffer import OfferHandle
 from egretworks.streams import Stream
 from egretworks.transit import TransitEstimator
 from egretworks.types import NO_VERSION, InstanceId
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -8,6 +8,7 @@
 
 from egretworks.clock import MILLIS_PER_SECOND, Millis
 from egretworks.exceptions import PeerError
+from egretworks.gateinterface import CancelCallback, Reply
 from egretworks.linkcoding import CompressedCoding, PlainCoding
 from egretworks.linkframes import (
     DELTA_PROTOCOL,
@@ -28,7 +29,6 @@
 from egretworks.linkhost import LinkHost
 from egretworks.linkplan import LinkPurpose
 from egretworks.linkstream import LinkStream
-from egretworks.pendingoffer import CancelCallback, Reply
 from egretworks.rows import DaemonRow
 from egretworks.streams import Stream, connect
 from egretworks.targetselection import TargetEstimate
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
-
 from egretworks.clock import Millis
 from egretworks.edge import TargetHead
+from egretworks.gateinterface import (
+    NOT_SERVING_RETRY_AFTER_MS,
+    CancelCallback,
+    OfferGate,
+    Reply,
+)
 from egretworks.gatequeue import GateQueue, QueueEntry
 from egretworks.httpwire import Response, encode_request
 from egretworks.linkframes import (
@@ -22,39 +25,8 @@
 from egretworks.targettracker import TargetIncarnation
 from egretworks.types import CallId, RouteName, ServiceName, TeamName
 
-if TYPE_CHECKING:
-    from egretworks.gate import Gate
-
 # Extra time in which a target that stops at the deadline can still answer that it did.
 ANSWER_GRACE_MS = 60
-NOT_SERVING_RETRY_AFTER_MS = 250.0
-
-Reply = Callable[[Outcome], None]
-CancelCallback = Callable[[], None]
-
-
-class OfferHandle(Protocol):
-    """Handle with which the offering side cancels or withdraws an offer."""
-
-    def cancel(self) -> None:
-        """Stop the request if possible; `reply` is not called afterwards.
-
-        A request that is in flight and not idempotent runs to its end.
-        """
-
-    def withdraw(self) -> bool:
-        """Remove the request from the queue; return False if it is not waiting there."""
-
-
-class RefusedOffer:
-    """Handle of an offer that was refused at once."""
-
-    def cancel(self) -> None:
-        """Do nothing."""
-
-    def withdraw(self) -> bool:
-        """Return False, as there is nothing to withdraw."""
-        return False
 
 
 class PendingOffer:
@@ -66,7 +38,7 @@
 
     def __init__(
         self,
-        gate: Gate,
+        gate: OfferGate,
         incarnation: TargetIncarnation,
         offer: Offer,
         entry: QueueEntry,
@@ -183,7 +155,7 @@
         """Return what the exchange with the target proves: answered, not run or unknown."""
         gate, offer = self._gate, self._offer
         if outcome is ExchangeFailure.NO_CONNECTION:
-            gate.on_unreachable(self._incarnation)
+            gate.target.on_unreachable(self._incarnation)
             return gate.refusal(offer, RefusalReason.NO_CONNECTION, NOT_SERVING_RETRY_AFTER_MS)
         if isinstance(outcome, ExchangeFailure):
             timed_out = outcome is ExchangeFailure.TIMED_OUT
@@ -191,10 +163,10 @@
         metadata = self._host.edge.read_answer_metadata(outcome)
         # 421 Misdirected Request: another target answers at the address.
         if outcome.status != 421 and (metadata.signed or metadata.not_run):
-            gate.apply_notice(self._incarnation, outcome)
+            gate.target.apply_notice(self._incarnation, outcome)
         if metadata.not_run or outcome.status == 421:
             if outcome.status == 421:
-                gate.on_wrong_target(self._incarnation)
+                gate.target.on_wrong_target(self._incarnation)
             retry_after_ms = self._queue.processing_times.mean
             return gate.refusal(offer, RefusalReason.DECLINED, retry_after_ms, reached_target=True)
         if not metadata.signed or metadata.encoded:
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -23,7 +23,8 @@
 from egretworks.forwardedcall import ForwardHost
 from egretworks.forwarding import Forwarder
 from egretworks.freshness import ConfigFreshness, RevocationBound
-from egretworks.gate import Gate, GateHost
+from egretworks.gate import Gate
+from egretworks.gateinterface import GateHost
 from egretworks.gauges import GaugeSources, read_gauges
 from egretworks.httpport import HttpExchange, HttpPort
 from egretworks.httpwire import Response, error_response
@@ -141,7 +142,7 @@
             lambda rows: self._links.on_rows_changed(rows),
             lambda rows: self._links.pass_on(rows),
             lambda row: self._links.publish(row),
-            self._gate.apply_earlier_target,
+            self._gate.target.apply_earlier_row,
             self._freshness,
         )
         self._links = LinkSet(self._link_host, self._config.services)
@@ -305,7 +306,7 @@
         InboundLink(self._link_host, stream)
 
     def _on_config_applied(self) -> None:
-        self._gate.check_health_if_unconfirmed()
+        self._gate.target.check_health_if_unconfirmed()
 
     def _on_target_changed(self) -> None:
         self._links.publish(self._rows.change_own(target=self._gate.row()))
--- a/tests/simdaemons.py
+++ b/tests/simdaemons.py
@@ -10,7 +10,8 @@
 from egretworks.edge import Heartbeat
 from egretworks.forwardedcall import ForwardHost
 from egretworks.forwarding import Forwarder
-from egretworks.gate import Gate, GateHost
+from egretworks.gate import Gate
+from egretworks.gateinterface import GateHost
 from egretworks.httpwire import Response
 from egretworks.keycheck import KeyCheck
 from egretworks.linkframes import GateReport
