--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -20,6 +20,7 @@
     Overloaded,
     OverQuota,
 )
+from egretworks.gateinterface import CancelCallback
 from egretworks.httpport import HttpExchange
 from egretworks.httpwire import Response, error_response
 from egretworks.keycheck import KeyCheck
@@ -35,7 +36,6 @@
 from egretworks.meshretrybudget import RetryBounds
 from egretworks.meshroutes import MeshRoute
 from egretworks.metrics import Metrics
-from egretworks.pendingoffer import CancelCallback
 from egretworks.quotaclient import QuotaClient, QuotaTicket
 from egretworks.refusals import refusal_response, retry_after_ms
 from egretworks.runningrequests import RunningRequests
