Deposit quota tokens in four pools, at half the rate

Change: four pools, deposits each 380 ms (200 ms while tokens are to be given back), up to 450 ms minted at once; the capacity of a pool is lower by the 200 ms more that a token may be on its way. Measured: test_quota.py and test_quotacalls.py pass.

--- a/egretworks/quotaclient.py
+++ b/egretworks/quotaclient.py
@@ -34,7 +34,9 @@
 
 # Interval at which time is deposited without a request. With the delay of a timer it must stay
 # below `quotashare.MAX_MINTED_MS`.
-DEPOSIT_MS = 200
+DEPOSIT_MS = 380
+# The same while tokens are to be given back, which expire.
+RETURN_MS = 200
 # A daemon that did not answer in time is not asked again for this long.
 AVOIDED_MS = 2_000
 # The same for a daemon to which the link was not up in time; it may be up soon.
@@ -131,6 +133,11 @@
         self.sent_at = Millis(0)
         self.ranked: list[InstanceId] = []
 
+    @property
+    def deposit_ms(self) -> float:
+        """Return the interval at which this daemon deposits without a request."""
+        return RETURN_MS if self.returned else DEPOSIT_MS
+
 
 class QuotaClient:
     """Decide which callers' requests are within the quotas of their teams."""
@@ -208,7 +215,7 @@
             if pending is not None:
                 if now - pending.sent_at >= GRANT_TIMEOUT_MS:
                     self._time_out(pool, now, avoid=not paused)
-            elif pool.waiting or (in_use and now - pool.sent_at >= DEPOSIT_MS):
+            elif pool.waiting or (in_use and now - pool.sent_at >= pool.deposit_ms):
                 self._send_waiting(pool, now)
 
     def uses(self) -> Iterator[tuple[str, int]]:
--- a/egretworks/quotashare.py
+++ b/egretworks/quotashare.py
@@ -12,12 +12,12 @@
 from egretworks.teams import MeshTeam
 from egretworks.types import InstanceId
 
-POOLS = 8
+POOLS = 4
 # A team is split over one more pool for each of these requests a second, up to all pools.
 RATE_PER_SHARD = 100.0
 # Longest time that a daemon mints at once; what it did not deposit by then is lost. Part of the
 # bound, see `quotapool.MAX_LAG_MS`.
-MAX_MINTED_MS = 250.0
+MAX_MINTED_MS = 450.0
 # A daemon whose count of daemons has just changed after its start does not know all of them yet.
 STABLE_MS = 300
 # A leaving daemon is counted for this long, since it may be back before its new row arrives.
