--- a/egretworks/linkplan.py
+++ b/egretworks/linkplan.py
@@ -4,6 +4,8 @@
 targets elsewhere. Rendezvous hashing selects those, so that each target is linked from about as
 many daemons as any other, and few links move when one comes or goes. Two daemons of each data
 centre, its relays, also link to the relays of the others and pass changed rows on.
+
+If teams have quotas, each daemon also links to the daemons that keep the pools of quota tokens.
 """
 
 from __future__ import annotations
