Bring in new versions of services as orders in the store demand

Cause: all targets of a service got requests whatever their version, so an unproved one got as much as the current one from its start, and orders in the store were not read. Change: one daemon leads an order (rolloutcontrol.py): it watches the objects `rollouts`, sums the reports of the gates (frame 19), decides the steps (rollout.py) and sends each stage (frame 18). The callers' daemons offer the stage's share to the new version, and the gates beside new targets refuse what exceeds their quotas. All of it is off unless `bounds.rollout` is set.

--- a/egretworks/config.py
+++ b/egretworks/config.py
@@ -218,6 +218,10 @@
         float,
         Meta(ge=0, description="Requests of a team per window in addition to its quota."),
     ] = 0.0
+    rollout: Annotated[
+        bool,
+        Meta(description="Whether new versions are brought in by orders in the platform's store."),
+    ] = False
     canary_share: Annotated[
         float,
         Meta(gt=0, le=1, description="Share of a service's requests for an unproved version."),
--- a/egretworks/destinations.py
+++ b/egretworks/destinations.py
@@ -32,6 +32,10 @@
     def name(self) -> str:
         """Return the id of the daemon that serves the target."""
 
+    @property
+    def version(self) -> str:
+        """Return the version of the target; empty if it is unknown."""
+
 
 class LocalDestination:
     """The local target, behind this daemon's gate."""
@@ -42,6 +46,12 @@
         self._gate = gate
         self.name = name
 
+    @property
+    def version(self) -> str:
+        """Return the version of the target; empty if it is unknown."""
+        row = self._gate.row()
+        return row.version if row is not None else ""
+
     def offer(self, offer: Offer, reply: Reply) -> CancelCallback:
         """Offer a request to the gate and return a callback that cancels it."""
         return self._gate.offer(offer, reply).cancel
--- a/egretworks/edge.py
+++ b/egretworks/edge.py
@@ -11,6 +11,7 @@
 
 from egretworks.httpwire import Headers, Request, Response
 from egretworks.meshroutes import MeshConfig
+from egretworks.rolloutorder import RolloutOrder, RolloutPhase
 from egretworks.types import CallId, Endpoint, ServiceName, TargetId, TargetState, TeamName
 
 
@@ -122,3 +123,9 @@
 
     def decode_config(self, document: bytes) -> MeshConfig:
         """Return the configuration in `document`, or raise `ConfigInvalid`."""
+
+    def decode_order(self, document: bytes, status: bytes) -> RolloutOrder:
+        """Return the order in `document` with its `status`, or raise `ConfigInvalid`."""
+
+    def encode_order_status(self, phase: RolloutPhase, target_version: str) -> bytes:
+        """Return the status of an order for `target_version`."""
--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -30,6 +30,7 @@
 from egretworks.metrics import Metrics
 from egretworks.pendingoffer import CancelCallback
 from egretworks.refusals import refusal_response, retry_after_ms
+from egretworks.rolloutlinks import NoRollouts
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
 from egretworks.targetselection import TargetEstimate, select_target
@@ -78,6 +79,8 @@
     running_requests: RunningRequests
     # Decides which callers' keys are accepted.
     key_check: KeyCheck
+    # Tells which versions of a service a request may go to.
+    rollouts: NoRollouts = NoRollouts()
 
 
 class AcceptedCall(msgspec.Struct, frozen=True):
@@ -129,6 +132,7 @@
         self._headers = self._host.edge.forwarded_headers(
             exchange.request, keyed=self._host.config.teams is not None
         )
+        self._versions = self._host.rollouts.begin_call(self._service)
         self._tried: list[Destination] = []
         self._offers = 0
         self._call_share = call_share
@@ -219,6 +223,8 @@
 
     def _on_refused(self, outcome: Refused) -> None:
         self._remember_busy(outcome)
+        if outcome.reason is RefusalReason.NOT_SERVING:
+            self._host.rollouts.on_not_serving(self._service, self._tried[-1].name)
         if outcome.reached_target:
             self._attempt_count += 1
             retry = self._may_retry("declined")
@@ -263,11 +269,10 @@
         return allowed
 
     def _untried(self) -> list[Destination]:
-        return [
-            destination
-            for destination in self._host.destinations(self._service)
-            if destination not in self._tried
-        ]
+        destinations = self._host.destinations(self._service)
+        if self._versions is not None:
+            destinations = self._versions.allowed(destinations, first=not self._tried)
+        return [destination for destination in destinations if destination not in self._tried]
 
     def _remember_busy(self, outcome: Refused) -> None:
         """Remember the refusal if other requests of the route would be refused too."""
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -23,6 +23,7 @@
     RefusedOffer,
     Reply,
 )
+from egretworks.rolloutlinks import NoRollouts
 from egretworks.rows import TargetRow
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
@@ -55,6 +56,8 @@
     answer_budget: ByteBudget
     # Returns whether the retry budgets allow the calls that retries are expected to make.
     allows_calls: Callable[[Mapping[ServiceName, float]], bool]
+    # Tells which requests the version of the target may get, and counts its answers.
+    rollouts: NoRollouts = NoRollouts()
 
 
 class Gate:
@@ -152,6 +155,7 @@
             or not incarnation.accepts_requests(now)
             or incarnation.service != offer.service
             or self.stopping
+            or not self.host.rollouts.admits(incarnation)
         ):
             reply(self.refusal(offer, RefusalReason.NOT_SERVING, NOT_SERVING_RETRY_AFTER_MS))
             return RefusedOffer()
--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -12,6 +12,7 @@
 from egretworks.configholder import ConfigHolder
 from egretworks.forwarding import Forwarder
 from egretworks.gate import Gate
+from egretworks.linkframes import RolloutStep
 from egretworks.metrics import Gauge
 from egretworks.rows import RowTable
 from egretworks.types import ServiceName
@@ -31,6 +32,8 @@
     links_up: Callable[[], int]
     # Returns the number of log lines dropped since the start.
     lines_dropped: Callable[[], int]
+    # Returns the step of the newest order of each service.
+    rollout_steps: Callable[[], Mapping[ServiceName, RolloutStep]]
 
 
 def read_gauges(sources: GaugeSources) -> Iterable[Gauge]:
@@ -63,6 +66,8 @@
     yield Gauge("log_lines_dropped", "log lines dropped since the start", sources.lines_dropped())
     for service, count in sorted(serving_targets(sources.rows).items()):
         yield Gauge("targets_serving", "targets known to accept requests", count, service)
+    for service, step in sorted(sources.rollout_steps().items()):
+        yield Gauge("rollout_step", "step of the newest order, 1 to 7", step, service)
     now = sources.clock.now()
     for service, budget in sorted(sources.forwarder.budget_by_service.items()):
         left = budget.left(sources.rows.size, now)
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -70,6 +70,8 @@
         # See `ConfigPeer`.
         self.peer_version = NO_VERSION
         self.reads_deltas = False
+        # See `RolloutPeer`.
+        self.protocol = 0
         # See `MemberPeer`.
         self.near = False
         host.inbound_links.add(self)
@@ -157,10 +159,12 @@
         self._stream.peer = self.peer
         self.near = hello.row.data_centre == host.rows.own.data_centre
         self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
+        self.protocol = hello.protocol
         self._queued_ms(hello)
         self.send_frame(host.hello(self.peer, hello.protocol))
         host.receive_rows([hello.row, *hello.rows])
         host.compare_state(hello, self)
+        host.rollouts.on_link(self)
 
     def _queued_ms(self, frame: Hello | Offer | Ping) -> float:
         """Return how long `frame` was queued on its way; 0 if an older build sent it.
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -13,11 +13,13 @@
 from egretworks.types import Probability
 
 LENGTH_BYTES = 4
-# Version of this build's frames, the first that has `ConfigDelta` and `RowsRequest`, and the first
-# that reads `QuotaRequest`, `QuotaGrant` and `FramePart`.
+# Version of this build's frames, the first that has `ConfigDelta` and `RowsRequest`, the first
+# that reads `QuotaRequest`, `QuotaGrant` and `FramePart`, and the first that reads `RolloutStage`
+# and `RolloutEvidence`.
 LINK_PROTOCOL = 4
 DELTA_PROTOCOL = 2
 PARTS_PROTOCOL = 4
+ROLLOUT_PROTOCOL = 4
 # Large enough for a request or response with the largest permitted body and headers.
 MAX_FRAME_BYTES = 80_000_000
 
@@ -274,6 +276,93 @@
     data: bytes
 
 
+class RolloutStep(IntEnum):
+    """Steps of an order to move a service to a new version, in the order in which they follow."""
+
+    # A few requests go to the new version.
+    PROBE = 1
+    # A share of the requests goes there.
+    CANARY = 2
+    # All requests go there, until what remains of the permitted number is used up.
+    TRIAL = 3
+    # All requests go there; the old targets still take what is on its way to them.
+    MOVED = 4
+    # The old targets take nothing more.
+    CLOSED = 5
+    COMPLETED = 6
+    # No request goes to the new version.
+    ROLLED_BACK = 7
+
+
+class GateQuota(msgspec.Struct, frozen=True, array_like=True):
+    """Permit the gate beside a new target a number of requests since the order.
+
+    It holds for one run of the daemon, as the next one has forgotten what it has used.
+    """
+
+    daemon: str
+    incarnation: int
+    allowed: int
+
+
+class RolloutStage(msgspec.Struct, array_like=True, frozen=True, tag=18):
+    """Tell the daemons how far the order for a service is, and what they do at this step."""
+
+    service: str
+    target_version: str
+    # Number of the order: the revision at which it was taken. Later orders have higher ones.
+    order: int
+    # Incremented when another daemon takes over the lead.
+    epoch: int
+    # Incremented with each stage within an epoch.
+    number: int
+    # The daemon that leads.
+    leader: str
+    step: RolloutStep
+    # Milliseconds since the order was noticed, when the frame was sent.
+    age_ms: float
+    duration_ms: float
+    # Share of the requests that are offered to the new version.
+    share: Probability = 0.0
+    # What each gate of the new version may run before all requests move to it.
+    quotas: list[GateQuota] = []
+    # The versions before the order; empty if they are unknown, which are then all others.
+    current_versions: list[str] = []
+
+
+class RouteEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """Count the answers of a target on a route since the order."""
+
+    route: str
+    answers: int = 0
+    # Those among them that failed or were lost.
+    bad: int = 0
+    # Sum of the natural logarithms of the times of the others, in milliseconds.
+    log_ms: float = 0.0
+
+
+class RolloutEvidence(msgspec.Struct, array_like=True, frozen=True, tag=19):
+    """Report what a daemon has seen of a service since the order, to the daemon that leads."""
+
+    service: str
+    order: int
+    daemon: str
+    incarnation: int
+    # Incremented with each report of this run of the daemon.
+    serial: int
+    # The step that the sender follows.
+    step: RolloutStep
+    # Requests for the service that came from its callers.
+    calls: int
+    # Whether its target is one of the service, and of the new version.
+    has_target: bool = False
+    is_new: bool = False
+    # Requests that the target has been sent, and those running or waiting there.
+    runs: int = 0
+    load: int = 0
+    routes: list[RouteEvidence] = []
+
+
 Outcome = Answered | Refused | Lost
 Frame = (
     Hello
@@ -293,6 +382,8 @@
     | QuotaRequest
     | QuotaGrant
     | FramePart
+    | RolloutStage
+    | RolloutEvidence
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -23,12 +23,15 @@
     Hello,
     Ping,
     Pong,
+    RolloutEvidence,
+    RolloutStage,
     Rows,
     RowsRequest,
 )
 from egretworks.membersync import MemberPeer, MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
+from egretworks.rolloutlinks import NoRollouts
 from egretworks.rows import DaemonRow, RowTable, TargetRow
 from egretworks.timeline import Timeline
 from egretworks.types import InstanceId, Version
@@ -66,6 +69,7 @@
     # Called with the target that an earlier run of this daemon last described.
     on_earlier_target: Callable[[TargetRow], None]
     freshness: ConfigFreshness
+    rollouts: NoRollouts = NoRollouts()
 
     def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
         """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
@@ -113,6 +117,10 @@
             self.config.apply_delta(frame, link, peer)
         elif isinstance(frame, ConfigRequest):
             self.config.send_config(link, Version(frame.known_version))
+        elif isinstance(frame, RolloutStage):
+            self.rollouts.on_stage(frame, near=link.near)
+        elif isinstance(frame, RolloutEvidence):
+            self.rollouts.on_evidence(frame)
 
     def receive_rows(self, rows: list[DaemonRow]) -> None:
         """Merge `rows`, which a peer has sent, and notify the daemon of what changed."""
--- a/egretworks/linkset.py
+++ b/egretworks/linkset.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable, Collection, Iterable
 
 from egretworks.clock import Millis
-from egretworks.linkframes import Rows
+from egretworks.linkframes import ROLLOUT_PROTOCOL, RolloutEvidence, RolloutStage, Rows
 from egretworks.linkhost import LinkHost
-from egretworks.linkplan import MAX_NEAR_DAEMONS, LinkPurpose, is_relay, plan_links
+from egretworks.linkplan import MAX_NEAR_DAEMONS, RELAYS, LinkPurpose, is_relay, plan_links
 from egretworks.outboundlinks import OutboundLink, ping_stretch
-from egretworks.rowrelay import RowPeer, RowRelay
+from egretworks.rolloutlinks import RolloutPeer
+from egretworks.rowrelay import RowRelay
 from egretworks.rows import DaemonRow
 from egretworks.types import InstanceId, ServiceName
 
@@ -103,17 +104,48 @@
         for link in list(self.links_by_id.values()):
             link.tick(now)
 
+    def send_stage(self, frame: RolloutStage) -> None:
+        """Send a stage of this daemon to all connected daemons, once to each."""
+        _send_rollout(frame, self._peers_by_id().values())
+
+    def pass_on_stage(self, frame: RolloutStage, *, from_near: bool) -> None:
+        """Pass on a stage that a peer has sent, if this daemon is a relay."""
+        if not self._is_relay():
+            return
+        if from_near:
+            _send_rollout(frame, self.relay_peers())
+        if not from_near or self.passes_own:
+            _send_rollout(frame, self.near_peers())
+
+    def send_evidence(self, frame: RolloutEvidence, leader: InstanceId, *, forward: bool) -> None:
+        """Send evidence to the leader, or to a relay on the way there.
+
+        With `forward`, the evidence is that of another daemon.
+        """
+        peers_by_id = self._peers_by_id()
+        rows = self._host.rows
+        if leader in peers_by_id:
+            _send_rollout(frame, [peers_by_id[leader]])
+        elif self._is_relay():
+            sender = rows.rows_by_id.get(InstanceId(frame.daemon))
+            is_near = sender is not None and sender.data_centre == rows.own.data_centre
+            if not forward or is_near:
+                _send_rollout(frame, self.relay_peers())
+        elif not forward:
+            near_ids = sorted(row.id for row in self._near_rows() if row.id in peers_by_id)
+            _send_rollout(frame, [peers_by_id[id] for id in near_ids[:RELAYS]])
+
     @property
     def passes_own(self) -> bool:
         """Return whether not all daemons of this data centre are linked to each other."""
         return len(self._near_rows()) > MAX_NEAR_DAEMONS
 
-    def near_peers(self) -> list[RowPeer]:
+    def near_peers(self) -> list[RolloutPeer]:
         """Return the connected daemons of this data centre."""
         near_ids = {row.id for row in self._near_rows()}
         return [peer for id, peer in self._peers_by_id().items() if id in near_ids]
 
-    def relay_peers(self) -> list[RowPeer]:
+    def relay_peers(self) -> list[RolloutPeer]:
         """Return the linked relays of the other data centres."""
         links = self.links_by_id.values()
         return [link for link in links if link.purpose is LinkPurpose.RELAY]
@@ -173,12 +205,18 @@
         rows = self._host.rows
         return [row for row in rows.rows_by_id.values() if row.data_centre == rows.own.data_centre]
 
-    def _peers_by_id(self) -> dict[InstanceId, RowPeer]:
+    def _peers_by_id(self) -> dict[InstanceId, RolloutPeer]:
         """Return one end of a link for each connected daemon."""
-        peers_by_id: dict[InstanceId, RowPeer] = {
+        peers_by_id: dict[InstanceId, RolloutPeer] = {
             inbound.peer: inbound for inbound in self._host.inbound_links
         }
         for id, link in self.links_by_id.items():
             if link.usable:
                 peers_by_id[id] = link
         return peers_by_id
+
+
+def _send_rollout(frame: RolloutStage | RolloutEvidence, peers: Iterable[RolloutPeer]) -> None:
+    for peer in peers:
+        if peer.protocol >= ROLLOUT_PROTOCOL:
+            peer.send_frame(frame)
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -118,12 +118,20 @@
         # See `ConfigPeer`.
         self.peer_version = NO_VERSION
         self.reads_deltas = False
+        # See `RolloutPeer`.
+        self.protocol = 0
 
     @property
     def name(self) -> InstanceId:
         """Return the id of the peer daemon."""
         return self.row.id
 
+    @property
+    def version(self) -> str:
+        """Return the version of the peer's target; empty if it is unknown."""
+        target = self.row.target
+        return target.version if target is not None else ""
+
     @property
     def usable(self) -> bool:
         """Return whether the link is up and its send buffer has room for offers."""
@@ -285,9 +293,11 @@
         self._ready = True
         self._failures = 0
         self.reads_deltas = hello.protocol >= DELTA_PROTOCOL
+        self.protocol = hello.protocol
         self._host.timeline.record("link_up", target=self.row.id, detail=self.purpose.value)
         self._query_outcomes()
         self._host.compare_state(hello, self)
+        self._host.rollouts.on_link(self)
 
     def _finish(self, outcome: Outcome) -> None:
         request = self._in_flight_by_serial.pop(outcome.serial, None)
--- a/egretworks/pendingoffer.py
+++ b/egretworks/pendingoffer.py
@@ -92,6 +92,10 @@
             gate.free_slot(gate.queue)
             self.refuse(RefusalReason.RETRY_BUDGET, 0.0)
             return
+        if not self._host.rollouts.take(self._incarnation):
+            gate.free_slot(gate.queue)
+            self.refuse(RefusalReason.NOT_SERVING, NOT_SERVING_RETRY_AFTER_MS)
+            return
         self._running = RunningRequest(
             RouteName(offer.route), self._entry.expires_at, offer.retry_share
         )
@@ -170,8 +174,14 @@
             gate.record_result(failed=result.status >= 500)
             self._queue.processing_times.record(self._offer.route, took_ms)
             self._host.metrics.observe("target", took_ms)
+            failed = result.status >= 500
+            self._host.rollouts.on_answer(
+                self._incarnation, self._offer.route, took_ms, failed=failed
+            )
         else:
             gate.record_result(failed=True)
+            if isinstance(result, Lost):
+                self._host.rollouts.on_lost(self._incarnation, self._offer.route, took_ms)
         self._free_slot()
         self._send_outcome(result)
 
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -37,6 +37,8 @@
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.plannedstop import planned_stop
+from egretworks.rollout import RolloutBounds
+from egretworks.rolloutcontrol import RolloutHost, Rollouts
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.settingsreload import ReloadableSettings
 from egretworks.storeclients import StoreClients
@@ -109,6 +111,7 @@
         self._freshness = ConfigFreshness(self._clock, lambda: self._config.version)
         self._revocation = RevocationBound(self._revoke_ms)
         self._answer_budget = ByteBudget(int(memory_bytes * ANSWER_MEMORY_FRACTION))
+        self._rollouts = Rollouts(self._rollout_host())
         self._gate = Gate(
             GateHost(
                 self._clock,
@@ -121,6 +124,7 @@
                 self._on_target_changed,
                 self._answer_budget,
                 lambda calls: self._forwarder.allows_calls(calls),
+                self._rollouts,
             )
         )
         self._body_budget = ByteBudget(int(memory_bytes * BODY_MEMORY_FRACTION))
@@ -138,11 +142,12 @@
             self._body_budget,
             OrphanedOffers(self._clock),
             set(),
-            lambda rows: self._links.on_rows_changed(rows),
+            self._on_rows_changed,
             lambda rows: self._links.pass_on(rows),
             lambda row: self._links.publish(row),
             self._gate.apply_earlier_target,
             self._freshness,
+            self._rollouts,
         )
         self._links = LinkSet(self._link_host, self._config.services)
         self._forwarder = Forwarder(self._forward_host())
@@ -156,6 +161,7 @@
             self._answer_budget,
             lambda: self._links.usable_count,
             lambda: log_handler.dropped,
+            self._rollouts.steps,
         )
         self._open_ports()
 
@@ -202,8 +208,27 @@
             self._unspent_since(),
             self._gate.running_requests,
             KeyCheck(self._config, self._freshness, self._revocation),
+            self._rollouts,
         )
 
+    def _rollout_host(self) -> RolloutHost:
+        return RolloutHost(
+            self._clock,
+            self._random,
+            self._timeline,
+            self._metrics,
+            self._edge,
+            self._rows,
+            lambda: self._links,
+            lambda: self._settings.bounds.rollout,
+            self._rollout_bounds,
+            lambda: self._gate.queue.load,
+        )
+
+    def _rollout_bounds(self) -> RolloutBounds:
+        bounds = self._settings.bounds
+        return RolloutBounds(bounds.canary_share, bounds.canary_slack)
+
     def _unspent_since(self) -> Millis:
         settings, now = self._settings, self._clock.now()
         first_start = settings.instance.first_start
@@ -307,8 +332,13 @@
     def _on_config_applied(self) -> None:
         self._gate.check_health_if_unconfirmed()
 
+    def _on_rows_changed(self, rows: list[DaemonRow]) -> None:
+        self._links.on_rows_changed(rows)
+        self._rollouts.on_rows_changed()
+
     def _on_target_changed(self) -> None:
         self._links.publish(self._rows.change_own(target=self._gate.row()))
+        self._rollouts.on_rows_changed()
 
     def _schedule_tick(self) -> None:
         call_later(TICK_MS, self._tick, Millis(self._clock.now() + TICK_MS))
@@ -321,6 +351,7 @@
         if now - due_at > PAUSE_MS:
             self._links.excuse_silence(now - due_at)
         self._links.tick(now)
+        self._rollouts.tick(now)
 
     def _handle_signals(self) -> None:
         received = signals.take()
@@ -346,7 +377,12 @@
 
     def _run_store_clients(self) -> None:
         clients = StoreClients(
-            self._link_host, self._links, self._freshness, self._revocation, self._random
+            self._link_host,
+            self._links,
+            self._freshness,
+            self._revocation,
+            self._rollouts,
+            self._random,
         )
         clients.run(lambda: self._connect_store(self._settings.platform.address))
 
--- a/egretworks/storeclients.py
+++ b/egretworks/storeclients.py
@@ -1,4 +1,4 @@
-"""Run the clients of the platform's store: the watch of the configuration and peer discovery."""
+"""Run the clients of the platform's store: the watches and peer discovery."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from egretworks.freshness import ConfigFreshness, RevocationBound
 from egretworks.linkhost import LinkHost
 from egretworks.linkset import LinkSet
+from egretworks.rolloutcontrol import Rollouts, RolloutWatch
 from egretworks.rows import is_store_watcher
 from egretworks.storesync import (
     CONFIG_NAME,
@@ -33,12 +34,14 @@
         links: LinkSet,
         freshness: ConfigFreshness,
         revocation: RevocationBound,
+        rollouts: Rollouts,
         random: RandomSource,
     ) -> None:
         self._link_host = link_host
         self._links = links
         self._freshness = freshness
         self._revocation = revocation
+        self._rollouts = rollouts
         self._random = random
 
     @property
@@ -78,6 +81,7 @@
             ),
         )
         eventlet.spawn_n(watch.run)
+        eventlet.spawn_n(RolloutWatch(self._rollouts, store).run)
         discovery.run()
 
     def _renew_after_ms(self) -> float | None:
--- a/egretworks/storesync.py
+++ b/egretworks/storesync.py
@@ -50,6 +50,8 @@
     revision: int
     document: bytes
     deleted: bool = False
+    # The status that daemons have written, byte for byte.
+    status: bytes = b"null"
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -87,6 +89,9 @@
     def replace(self, kind: str, name: str, document: bytes, revision: int) -> Stored:
         """Replace an object if it is still at `revision`, or raise `ObjectConflict`."""
 
+    def replace_status(self, kind: str, name: str, status: bytes, revision: int) -> Stored:
+        """Replace an object's status if it is still at `revision`, or raise `ObjectConflict`."""
+
 
 class ConfigProofs:
     """Prove by reads of the store that the version in force is the newest one."""
