--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -17,8 +17,8 @@
     RolloutEvidence,
     RolloutStage,
     RolloutStep,
-    RouteEvidence,
 )
+from egretworks.rolloutevidence import Counts, EvidenceTable, find_failing, find_slow
 from egretworks.rows import DaemonRow
 from egretworks.types import InstanceId, ServiceName
 
@@ -45,10 +45,11 @@
 MIN_TRIAL_MS = 600.0
 # A version that can't be moved to by this part of the duration is rolled back.
 GIVE_UP_AT = 0.85
-# A canary has this part of the new targets, and at least so many: one alone may be a slow machine,
-# and each of many gets too little load to show how the version works under load.
-CANARY_PART = 0.2
-MIN_CANARIES = 2
+# A canary has this part of the new targets, and at least so many: the median of their times must
+# not be that of a slow machine, and each of many gets too little load to show how the version works
+# under load.
+CANARY_PART = 0.25
+MIN_CANARIES = 4
 # New targets need this part of the old ones' slots before all requests move to them.
 MIN_SLOTS_PART = 0.8
 # A daemon that hasn't reported for this long is not waited for.
@@ -62,32 +63,15 @@
 # Recent answers are judged over this time too, so that earlier good ones hide no later fault.
 RECENT_MS = 3_000.0
 SNAPSHOT_MS = 250.0
-# Failures that are always expected, as a share of the answers and as a number.
-EXPECTED_FAILURE_SHARE = 0.01
-EXPECTED_FAILURES = 2.0
-# Failures beyond the expected ones by so many standard deviations are the version's.
-FAILURE_DEVIATIONS = 3.0
-# A version is bad if its answers take this many times as long. Targets of one version differ by
-# 1.7 times, and a cold one takes twice its time.
-SLOW_FACTOR = 2.5
-MIN_SLOW_ANSWERS = 8
-MIN_OLD_ANSWERS = 5
-# Typical standard deviation of the logarithm of a target's times.
-TIME_DEVIATION = 0.5
-SLOW_DEVIATIONS = 1.5
+# A version is rolled back once its answers have been too slow for this long: cold targets and other
+# short disturbances pass. While all requests go to it, waiting would cost too many of them.
+SLOW_LASTS_MS = 1_500.0
+SLOW_LASTS_AT_LOAD_MS = 200.0
 # Shortest time between stages that differ in their quotas only, and longest without any stage.
 QUOTA_MS = 300.0
 REPEAT_MS = 500.0
-# Reports hold at most this many routes, and stages this many quotas.
-MAX_ROUTES = 32
+# Stages hold at most this many quotas.
 MAX_QUOTAS = 128
-# Versions whose first targets were started within this time of each other were there together.
-FIRST_VERSIONS_MS = 3_000
-# Losses within this time are one fault: a target that ends breaks all its connections at once.
-LOSS_BURST_MS = 100.0
-
-# Shorter times count as this one: their logarithms would outweigh all others.
-MIN_TIME_MS = 0.5
 
 RUNNING_STEPS = frozenset(step for step in RolloutStep if step < RolloutStep.COMPLETED)
 BOUNDED_STEPS = frozenset((RolloutStep.PROBE, RolloutStep.CANARY, RolloutStep.TRIAL))
@@ -126,184 +110,6 @@
     ]
 
 
-class FirstVersions:
-    """Find the versions of each service that were there first, which need no order.
-
-    These are the versions whose first targets were started about when the first target of the
-    service was. So a daemon that has been restarted finds the same ones as the others, as far as
-    the first targets have not been replaced.
-    """
-
-    def __init__(self) -> None:
-        self._born_by_service: dict[ServiceName, dict[str, int]] = {}
-        self._present_by_service: dict[ServiceName, set[str]] = {}
-
-    def update(self, rows: Iterable[DaemonRow]) -> None:
-        """Take the rows of all daemons."""
-        self._present_by_service = {}
-        for row in rows:
-            target = row.target
-            if target is None or target.leaving or not target.version:
-                continue
-            born = self._born_by_service.setdefault(target.service, {})
-            born[target.version] = min(target.born, born.get(target.version, target.born))
-            self._present_by_service.setdefault(target.service, set()).add(target.version)
-        for service, born in self._born_by_service.items():
-            present = self._present_by_service.get(service)
-            if present and not present & _earliest(born):
-                # The first version is gone: what is left is used, as without a version.
-                self._born_by_service[service] = {version: born[version] for version in present}
-
-    def of(self, service: ServiceName) -> frozenset[str]:
-        """Return the versions of `service` that were there first; empty if none is known."""
-        return _earliest(self._born_by_service.get(service, {}))
-
-
-def _earliest(born: dict[str, int]) -> frozenset[str]:
-    latest = min(born.values(), default=0) + FIRST_VERSIONS_MS
-    return frozenset(version for version, first in born.items() if first <= latest)
-
-
-class ShareCounter:
-    """Select a share of the requests, evenly over time."""
-
-    def __init__(self, start: float) -> None:
-        """`start`, from 0 to 1, is random: else daemons with few requests would select none."""
-        self._sum = start
-
-    def select(self, share: float) -> bool:
-        """Return whether the next request is selected."""
-        self._sum += share
-        if self._sum < 1.0:
-            return False
-        self._sum -= 1.0
-        return True
-
-
-class GateEvidence:
-    """Count what the local target runs and answers while an order runs."""
-
-    def __init__(self) -> None:
-        self.runs = 0
-        self._by_route: dict[str, RouteEvidence] = {}
-        self._lost_at: Millis | None = None
-
-    @property
-    def routes(self) -> list[RouteEvidence]:
-        """Return the counts by route."""
-        return list(self._by_route.values())
-
-    def record(self, route: str, took_ms: float, *, failed: bool) -> None:
-        """Count an answer and the time that the target took for it."""
-        known = self._by_route.get(route)
-        if known is None:
-            if len(self._by_route) >= MAX_ROUTES:
-                route = ""
-            known = self._by_route.get(route, RouteEvidence(route))
-        self._by_route[route] = RouteEvidence(
-            route,
-            known.answers + 1,
-            known.bad + failed,
-            known.log_ms + (0.0 if failed else math.log(max(took_ms, MIN_TIME_MS))),
-        )
-
-    def record_lost(self, route: str, took_ms: float, now: Millis) -> bool:
-        """Count a request without an answer, unless it was lost together with another one."""
-        together = self._lost_at is not None and now - self._lost_at < LOSS_BURST_MS
-        self._lost_at = now
-        if not together:
-            self.record(route, took_ms, failed=True)
-        return not together
-
-
-class _Counts(msgspec.Struct):
-    answers: int = 0
-    bad: int = 0
-    log_ms: float = 0.0
-
-    @property
-    def timed(self) -> int:
-        """Return the number of answers whose times count."""
-        return self.answers - self.bad
-
-    def minus(self, earlier: _Counts) -> _Counts:
-        return _Counts(
-            self.answers - earlier.answers, self.bad - earlier.bad, self.log_ms - earlier.log_ms
-        )
-
-
-# Counts by (whether the target is new, route, daemon, incarnation of the daemon).
-_Key = tuple[bool, str, str, int]
-_Table = dict[_Key, _Counts]
-
-
-def judge(table: _Table) -> str:
-    """Return why the new version is bad as its answers show, or an empty string."""
-    old_logs, old_counts, new_counts = {}, {}, {}
-    for (is_new, route, _, _), counts in table.items():
-        sums = new_counts if is_new else old_counts
-        total = sums.setdefault(route, _Counts())
-        total.answers += counts.answers
-        total.bad += counts.bad
-        if not is_new and counts.timed:
-            old_logs.setdefault(route, []).append(counts.log_ms / counts.timed)
-    old_all = _sum(old_counts.values())
-    for route, counts in new_counts.items():
-        old = old_counts.get(route, old_all)
-        if _is_failing(counts, old):
-            return f"route {route}: {counts.bad} of {counts.answers} failed"
-    new_all = _sum(new_counts.values())
-    if _is_failing(new_all, old_all):
-        return f"{new_all.bad} of {new_all.answers} failed"
-    old_log_by_route = {
-        route: sum(logs) / len(logs)
-        for route, logs in old_logs.items()
-        if old_counts[route].timed >= MIN_OLD_ANSWERS
-    }
-    for route in (*old_log_by_route, None):
-        reason = _slow_reason(table, old_log_by_route, route)
-        if reason:
-            return reason
-    return ""
-
-
-def _sum(counts: Iterable[_Counts]) -> _Counts:
-    total = _Counts()
-    for each in counts:
-        total.answers += each.answers
-        total.bad += each.bad
-    return total
-
-
-def _is_failing(new: _Counts, old: _Counts) -> bool:
-    expected = max(EXPECTED_FAILURE_SHARE, (old.bad + 0.5) / (old.answers + 10.0))
-    mean = new.answers * expected
-    deviation = math.sqrt(mean * max(0.0, 1.0 - expected))
-    return new.bad > mean + FAILURE_DEVIATIONS * deviation + EXPECTED_FAILURES
-
-
-def _slow_reason(table: _Table, old_log_by_route: dict[str, float], only: str | None) -> str:
-    """Compare the times on the route `only`, or on all; each new target counts the same."""
-    answers_by_target: dict[tuple[str, int], int] = {}
-    excess_by_target: dict[tuple[str, int], float] = {}
-    for (is_new, route, daemon, incarnation), counts in table.items():
-        if not is_new or route not in old_log_by_route or (only is not None and route != only):
-            continue
-        target = (daemon, incarnation)
-        answers_by_target[target] = answers_by_target.get(target, 0) + counts.timed
-        excess = counts.log_ms - counts.timed * old_log_by_route[route]
-        excess_by_target[target] = excess_by_target.get(target, 0.0) + excess
-    ratios = [excess_by_target[key] / count for key, count in answers_by_target.items() if count]
-    answers = sum(answers_by_target.values())
-    if answers < MIN_SLOW_ANSWERS:
-        return ""
-    ratio = sum(ratios) / len(ratios)
-    if ratio <= math.log(SLOW_FACTOR) + SLOW_DEVIATIONS * TIME_DEVIATION / math.sqrt(answers):
-        return ""
-    where = "all routes" if only is None else f"route {only}"
-    return f"{where}: {math.exp(ratio):.1f} times as slow in {answers} answers"
-
-
 class RolloutPlan:
     """Lead one order: sum the reports of the daemons and decide each next stage."""
 
@@ -318,7 +124,9 @@
         self._reports: dict[tuple[str, int], RolloutEvidence] = {}
         self._reported_at: dict[tuple[str, int], Millis] = {}
         self._allowed = {(quota.daemon, quota.incarnation): quota.allowed for quota in stage.quotas}
-        self._snapshots: deque[tuple[Millis, _Table]] = deque()
+        self._snapshots: deque[tuple[Millis, EvidenceTable]] = deque()
+        # Since when the answers have always been far slower than those of the old version.
+        self._slow_since: Millis | None = None
         # What the last change of the step was decided by.
         self.reason = ""
 
@@ -390,8 +198,8 @@
         return now - self._started_at
 
     def _verdict(self, now: Millis) -> str:
-        table: _Table = {
-            (report.is_new, route.route, *key): _Counts(route.answers, route.bad, route.log_ms)
+        table: EvidenceTable = {
+            (report.is_new, route.route, *key): Counts(route.answers, route.bad, route.log_ms)
             for key, report in self._reports.items()
             if report.has_target
             for route in report.routes
@@ -400,16 +208,23 @@
             self._snapshots.append((now, table))
         while len(self._snapshots) > 1 and now - self._snapshots[1][0] >= RECENT_MS:
             self._snapshots.popleft()
-        verdict = judge(table)
-        if verdict:
-            return verdict
         earlier = self._snapshots[0][1]
         # The old version is compared over the whole time: it may get nothing any more.
         recent = {
             key: counts.minus(earlier[key]) if key[0] and key in earlier else counts
             for key, counts in table.items()
         }
-        return judge(recent)
+        failing = find_failing(table) or find_failing(recent)
+        if failing:
+            return failing
+        slow = find_slow(table) or find_slow(recent)
+        if not slow:
+            self._slow_since = None
+            return ""
+        if self._slow_since is None:
+            self._slow_since = now
+        lasts_ms = SLOW_LASTS_MS if self.stage.step < RolloutStep.TRIAL else SLOW_LASTS_AT_LOAD_MS
+        return slow if now - self._slow_since >= lasts_ms else ""
 
     def _next_step(
         self,
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -38,7 +38,8 @@
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.plannedstop import planned_stop
 from egretworks.rollout import RolloutBounds
-from egretworks.rolloutcontrol import RolloutHost, Rollouts
+from egretworks.rolloutcontrol import Rollouts
+from egretworks.rolloutstate import RolloutHost
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.settingsreload import ReloadableSettings
 from egretworks.storeclients import StoreClients
--- a/egretworks/storeclients.py
+++ b/egretworks/storeclients.py
@@ -11,7 +11,8 @@
 from egretworks.freshness import ConfigFreshness, RevocationBound
 from egretworks.linkhost import LinkHost
 from egretworks.linkset import LinkSet
-from egretworks.rolloutcontrol import Rollouts, RolloutWatch
+from egretworks.rolloutcontrol import Rollouts
+from egretworks.rolloutlead import RolloutWatch
 from egretworks.rows import is_store_watcher
 from egretworks.storesync import (
     CONFIG_NAME,
@@ -81,7 +82,7 @@
             ),
         )
         eventlet.spawn_n(watch.run)
-        eventlet.spawn_n(RolloutWatch(self._rollouts, store).run)
+        eventlet.spawn_n(RolloutWatch(self._rollouts.lead, store).run)
         discovery.run()
 
     def _renew_after_ms(self) -> float | None:
