--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -30,7 +30,7 @@
 from egretworks.metrics import Metrics
 from egretworks.pendingoffer import CancelCallback
 from egretworks.refusals import refusal_response, retry_after_ms
-from egretworks.rolloutlinks import NoRollouts
+from egretworks.rolloutlinks import NO_ROLLOUTS, NoRollouts
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
 from egretworks.targetselection import TargetEstimate, select_target
@@ -80,7 +80,7 @@
     # Decides which callers' keys are accepted.
     key_check: KeyCheck
     # Tells which versions of a service a request may go to.
-    rollouts: NoRollouts = NoRollouts()
+    rollouts: NoRollouts = NO_ROLLOUTS
 
 
 class AcceptedCall(msgspec.Struct, frozen=True):
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -23,7 +23,7 @@
     RefusedOffer,
     Reply,
 )
-from egretworks.rolloutlinks import NoRollouts
+from egretworks.rolloutlinks import NO_ROLLOUTS, NoRollouts
 from egretworks.rows import TargetRow
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
@@ -57,7 +57,7 @@
     # Returns whether the retry budgets allow the calls that retries are expected to make.
     allows_calls: Callable[[Mapping[ServiceName, float]], bool]
     # Tells which requests the version of the target may get, and counts its answers.
-    rollouts: NoRollouts = NoRollouts()
+    rollouts: NoRollouts = NO_ROLLOUTS
 
 
 class Gate:
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -31,7 +31,7 @@
 from egretworks.membersync import MemberPeer, MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
-from egretworks.rolloutlinks import NoRollouts
+from egretworks.rolloutlinks import NO_ROLLOUTS, NoRollouts
 from egretworks.rows import DaemonRow, RowTable, TargetRow
 from egretworks.timeline import Timeline
 from egretworks.types import InstanceId, Version
@@ -69,7 +69,7 @@
     # Called with the target that an earlier run of this daemon last described.
     on_earlier_target: Callable[[TargetRow], None]
     freshness: ConfigFreshness
-    rollouts: NoRollouts = NoRollouts()
+    rollouts: NoRollouts = NO_ROLLOUTS
 
     def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
         """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
--- a/egretworks/rolloutevidence.py
+++ b/egretworks/rolloutevidence.py
@@ -15,7 +15,7 @@
 
 # Failures that are always expected, as a share of the answers and as a number.
 EXPECTED_FAILURE_SHARE = 0.01
-EXPECTED_FAILURES = 2.0
+EXPECTED_FAILURES = 2.5
 # Failures beyond the expected ones by so many standard deviations are the version's.
 FAILURE_DEVIATIONS = 3.0
 # A version is bad if its answers take this many times as long. Targets of one version differ by
--- a/egretworks/rolloutlinks.py
+++ b/egretworks/rolloutlinks.py
@@ -100,3 +100,6 @@
 
     def on_evidence(self, evidence: RolloutEvidence) -> None:
         """Do nothing."""
+
+
+NO_ROLLOUTS = NoRollouts()
