Test that gates keep the bound without a leader, and that old targets stop after their answers

Cause: with the check of the quota taken out of the gate, or the wait for idle old targets taken out of the leader, all tests of rollouts passed. Change: two tests that fail then.

--- a/tests/rolloutsim.py
+++ b/tests/rolloutsim.py
@@ -209,6 +209,7 @@
         self.completed_at = None
         # Returns (bad, time in ms) of an answer of the new version.
         self.behaviour = lambda route, age_ms, running: (False, None)
+        self.old_took_ms = 40.0
         # Share of failures of any version.
         self.background = 0.0
         self.ordered_at = None
@@ -287,7 +288,7 @@
             fails, took_ms = self.behaviour(route, age_ms, destination.running)
             bad = bad or fails
         if took_ms is None:
-            took_ms = 40.0
+            took_ms = 40.0 if destination.version == NEW else self.old_took_ms
         took_ms *= self.random.lognormvariate(0, 0.4) * destination.slowness(self.time.now)
         destination.running += 1
         run = Run(sent_at, destination.version, bad)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -101,6 +101,31 @@
     assert_completed(mesh)
 
 
+# Guards against requests that are cut off because their old targets stop while they still run.
+@pytest.mark.parametrize("old_took_ms", (400.0, 900.0))
+def test_old_targets_stop_only_after_their_last_answers(old_took_ms):
+    mesh = RolloutMesh(old=24, new=24)
+    mesh.old_took_ms = old_took_ms
+    mesh.play()
+    assert_completed(mesh)
+
+
+# Guards against gates that rely on the leader: all requests go to the new version, and nobody is
+# left to stop them.
+@pytest.mark.parametrize("rate", (60, 500))
+@pytest.mark.parametrize("step", (RolloutStep.CANARY, RolloutStep.TRIAL))
+def test_the_gates_keep_the_bound_when_nobody_leads_any_more(step, rate):
+    mesh = RolloutMesh(rate=rate)
+    mesh.run_for(2_000)
+    mesh.order()
+    run_until(mesh, step)
+    for daemon in mesh.daemons:
+        daemon.rollouts.lead.tick = lambda now: None
+    mesh.run_for(14_500 - mesh.time.now)
+    assert_bounded(mesh)
+    assert mesh.refused == 0
+
+
 # Guards against an order that stays where it was when the daemon that leads it dies.
 @pytest.mark.parametrize(("step", "after_ms"), PAUSES)
 def test_another_daemon_takes_the_lead_over_between_two_stages(step, after_ms):
