Move to no version that has not answered, and send quotas only while they hold

Cause: targets that were started just before the trial were moved to with hardly an answer, and a version without any answer was too; the stages after the trial carried all quotas. Change: a canary lasts a second at least, the move needs ten answers (or 2% of the requests), a leaving old target with requests holds the status back too.

--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -58,8 +58,12 @@
 FOLLOW_MS = 1_000.0
 # The status is written this long before the deadline, even if an old gate isn't known to be empty.
 WRITE_BEFORE_MS = 1_000.0
-# A new leader moves nothing before it has had reports for this long.
+# A trial begins only after so long a canary, also where a new leader has taken over.
 LEARNING_MS = 1_000.0
+# All requests move to the new version only after so many answers, or this share of the requests if
+# there are few.
+MIN_ANSWERS = 10
+MIN_ANSWERS_SHARE = 0.02
 # Recent answers are judged over this time too, so that earlier good ones hide no later fault.
 RECENT_MS = 3_000.0
 SNAPSHOT_MS = 250.0
@@ -118,7 +122,6 @@
         self.stage = stage
         self._bounds = bounds
         self._started_at = Millis(now - stage.age_ms)
-        self._leads_since = now
         self._step_since = now
         self._stage_at = now
         self._reports: dict[tuple[str, int], RolloutEvidence] = {}
@@ -171,7 +174,7 @@
             return self._issue(now, step, new)
         if now - self._stage_at >= REPEAT_MS:
             return self._issue(now, step, new)
-        if step in BOUNDED_STEPS and now - self._stage_at >= QUOTA_MS:
+        if step < RolloutStep.TRIAL and now - self._stage_at >= QUOTA_MS:
             return self._issue(now, step, new)
         return None
 
@@ -181,11 +184,17 @@
             return False
         if self._age(now) >= self.stage.duration_ms - WRITE_BEFORE_MS:
             return True
+        if any(
+            report.has_target and not report.is_new and report.load > 0
+            for key, report in self._reports.items()
+            if now - self._reported_at[key] < SILENT_MS
+        ):
+            return False
         for target in targets:
             if target.version == self.stage.target_version:
                 continue
             report = self._reports.get((target.daemon, target.incarnation))
-            if report is None or report.step < RolloutStep.CLOSED or report.load > 0:
+            if report is None or report.step < RolloutStep.CLOSED:
                 return False
         return True
 
@@ -256,11 +265,16 @@
                 self.reason = f"{answers} answers of the new version"
                 return RolloutStep.CANARY
         elif step is RolloutStep.CANARY:
-            if age_ms >= duration_ms * TRIAL_AT and now - self._leads_since >= LEARNING_MS:
+            if age_ms >= duration_ms * TRIAL_AT and in_step_ms >= LEARNING_MS:
                 self.reason = f"{answers} answers of the new version are good"
                 return RolloutStep.TRIAL
         elif step is RolloutStep.TRIAL:
             has_slots = _slots(new) >= _slots(old) * MIN_SLOTS_PART
+            if answers < min(MIN_ANSWERS, self.calls * MIN_ANSWERS_SHARE):
+                if age_ms < duration_ms * GIVE_UP_AT or not may_go_back:
+                    return step
+                self.reason = f"{answers} answers of the new version are too few"
+                return RolloutStep.ROLLED_BACK
             is_late = age_ms >= duration_ms * MOVE_AT
             if in_step_ms >= (MIN_TRIAL_MS if is_late else TRIAL_MS) and (has_slots or is_late):
                 self.reason = f"{answers} answers of the new version are good, also at full load"
@@ -284,6 +298,10 @@
     def _issue(self, now: Millis, step: RolloutStep, new: list[VersionTarget]) -> RolloutStage:
         if step in BOUNDED_STEPS:
             self._grant(step, new)
+            quotas = [GateQuota(*key, allowed) for key, allowed in self._allowed.items()]
+        else:
+            # They are the largest part of a stage, and none of these steps needs them.
+            quotas = []
         self._stage_at = now
         self.stage = msgspec.structs.replace(
             self.stage,
@@ -291,7 +309,7 @@
             step=step,
             age_ms=self._age(now),
             share=self._share(now, step),
-            quotas=[GateQuota(*key, allowed) for key, allowed in self._allowed.items()],
+            quotas=quotas,
         )
         return self.stage
 
--- a/tests/rolloutsim.py
+++ b/tests/rolloutsim.py
@@ -21,6 +21,7 @@
 LINK_MS = 5.0
 TICK_MS = 50.0
 ROLLBACK_MS = 5_000.0
+TIMEOUT_MS = 2_000.0
 
 
 class SimStore:
@@ -293,12 +294,17 @@
         destination.running += 1
         run = Run(sent_at, destination.version, bad)
         self.runs.append(run)
-        self.time.call_later(took_ms, self._end, destination, route, took_ms, run)
+        run.bad = run.bad or took_ms > TIMEOUT_MS
+        ends_in_ms = min(took_ms, TIMEOUT_MS)
+        self.time.call_later(ends_in_ms, self._end, destination, route, took_ms, run)
 
     def _end(self, destination, route, took_ms, run):
         destination.running -= 1
         run.ended_at = self.time.now
-        destination.rollouts.on_answer(destination, route, took_ms, failed=run.bad)
+        if took_ms > TIMEOUT_MS:
+            destination.rollouts.on_lost(destination, route, TIMEOUT_MS)
+        else:
+            destination.rollouts.on_answer(destination, route, took_ms, failed=run.bad)
 
     # What is checked
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -29,7 +29,12 @@
     return lambda route, age_ms, running: (age_ms > 5_000 and source.random() < 0.3, None)
 
 
+def hangs(route, age_ms, running):
+    return False, 60_000.0
+
+
 BAD = {
+    "hangs": hangs,
     "fails in part": fails_in_part(),
     "fails on one route": fails_on_one_route,
     "is slow": is_four_times_slower,
@@ -348,6 +353,43 @@
     assert_bounded(mesh)
 
 
+# Guards against a version that gets all requests though none of its targets has answered, and
+# against an order without an end where no target of the version is ever started.
+@pytest.mark.parametrize("new", (0, 3))
+def test_a_version_that_answers_nothing_is_rolled_back(new):
+    mesh = RolloutMesh(new=new)
+    for daemon in mesh.daemons:
+        if daemon.version == NEW:
+            daemon.rollouts.admits = lambda target: False
+    mesh.play()
+    assert (mesh.store.phase, mesh.new_runs, mesh.refused) == ("rolled_back", 0, 0)
+
+
+# Guards against a version that is moved to unseen, as its targets are started late.
+def test_targets_that_are_started_late_are_tried_as_long_as_there_is_time():
+    mesh = RolloutMesh()
+    late = [each for each in mesh.daemons if each.version == NEW]
+    rows = {daemon.id: daemon.rows.own.target for daemon in late}
+
+    def start(target_of):
+        for daemon in late:
+            row = daemon.rows.change_own(target=target_of(daemon))
+            daemon.version = NEW if row.target else None
+            for other in mesh.daemons:
+                if other is not daemon:
+                    other.rows.merge([row])
+                other.rollouts.on_rows_changed()
+
+    start(lambda daemon: None)
+    mesh.run_for(2_000)
+    mesh.order()
+    mesh.run_for(7_600)
+    start(lambda daemon: rows[daemon.id])
+    mesh.behaviour = BAD["fails on one route"]
+    mesh.run_for(5_000)
+    assert_rolled_back(mesh)
+
+
 # Guards against an order that is lost because its predecessor still runs.
 def test_a_later_order_takes_the_place_of_a_running_one():
     mesh = RolloutMesh()
