--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -66,7 +66,9 @@
 MIN_ANSWERS_SHARE = 0.02
 # Recent answers are judged over this time too, so that earlier good ones hide no later fault.
 RECENT_MS = 3_000.0
-SNAPSHOT_MS = 250.0
+# The same while all requests go to the version: earlier answers say little about it at full load.
+RECENT_AT_LOAD_MS = 800.0
+SNAPSHOT_MS = 200.0
 # A version is rolled back once its answers have been too slow for this long: cold targets and other
 # short disturbances pass. While all requests go to it, waiting would cost too many of them.
 SLOW_LASTS_MS = 1_500.0
@@ -217,16 +219,13 @@
             self._snapshots.append((now, table))
         while len(self._snapshots) > 1 and now - self._snapshots[1][0] >= RECENT_MS:
             self._snapshots.popleft()
-        earlier = self._snapshots[0][1]
-        # The old version is compared over the whole time: it may get nothing any more.
-        recent = {
-            key: counts.minus(earlier[key]) if key[0] and key in earlier else counts
-            for key, counts in table.items()
-        }
-        failing = find_failing(table) or find_failing(recent)
+        tables = [table, self._since(now - RECENT_MS, table)]
+        if self.stage.step >= RolloutStep.TRIAL:
+            tables.append(self._since(now - RECENT_AT_LOAD_MS, table))
+        failing = next(filter(None, map(find_failing, tables)), "")
         if failing:
             return failing
-        slow = find_slow(table) or find_slow(recent)
+        slow = next(filter(None, map(find_slow, tables)), "")
         if not slow:
             self._slow_since = None
             return ""
@@ -235,6 +234,20 @@
         lasts_ms = SLOW_LASTS_MS if self.stage.step < RolloutStep.TRIAL else SLOW_LASTS_AT_LOAD_MS
         return slow if now - self._slow_since >= lasts_ms else ""
 
+    def _since(self, at: float, table: EvidenceTable) -> EvidenceTable:
+        """Return what has been added to `table` since about `at`.
+
+        The old version is compared over the whole time: it may get nothing any more.
+        """
+        earlier = next(
+            (taken for taken_at, taken in reversed(self._snapshots) if taken_at <= at),
+            self._snapshots[0][1],
+        )
+        return {
+            key: counts.minus(earlier[key]) if key[0] and key in earlier else counts
+            for key, counts in table.items()
+        }
+
     def _next_step(
         self,
         now: Millis,
