Hold the status of a new version back until two seconds before the deadline

Cause: the old targets stop when the status is written, so a version that turned bad after the move could not be rolled back any more, though there were seconds left. Change: `completed` is written at the earliest two seconds before the deadline.

--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -56,6 +56,9 @@
 SILENT_MS = 1_500.0
 # Longest wait for all reporting daemons to follow the move.
 FOLLOW_MS = 1_000.0
+# The status is written no earlier than this before the deadline: until then, a version that turns
+# bad after the move can be rolled back.
+HOLD_BEFORE_MS = 2_000.0
 # The status is written this long before the deadline, even if an old gate isn't known to be empty.
 WRITE_BEFORE_MS = 1_000.0
 # A trial begins only after so long a canary, also where a new leader has taken over.
@@ -184,7 +187,10 @@
         """Return whether the old targets may stop, so that `completed` may be written."""
         if self.stage.step is not RolloutStep.CLOSED:
             return False
-        if self._age(now) >= self.stage.duration_ms - WRITE_BEFORE_MS:
+        left_ms = self.stage.duration_ms - self._age(now)
+        if left_ms > HOLD_BEFORE_MS:
+            return False
+        if left_ms <= WRITE_BEFORE_MS:
             return True
         if any(
             report.has_target and not report.is_new and report.load > 0
