Ask the store for orders only once the links of the leader are up

Cause: a daemon that has just started has no links and took itself for the leader, so each daemon of a mesh that starts would have listed the orders. Change: no watch in the first 1.5 s, and none at a daemon without links; extra settings of the tests are appended. Measured: tests/test_rollout.py and tests/test_rolloutspread.py pass.

--- a/egretworks/rolloutlead.py
+++ b/egretworks/rolloutlead.py
@@ -31,6 +31,9 @@
 ROLLOUT_KIND = "rollouts"
 # The store is asked for orders at most once in this time: its calls are priced.
 WATCH_INTERVAL_MS = 1_000
+# A daemon that has just started has no links, and would take itself for the leader: all daemons of
+# a mesh that starts would ask the store.
+START_MS = 1_500
 # How often a daemon checks whether it has become the leader.
 ELECTION_POLL_MS = 200
 # Time that an order has probably been in the store before its leader has noticed it.
@@ -97,7 +100,11 @@
         none does, a running order still needs a leader.
         """
         own = self.host.rows.own
-        rows = [row for row in (own, *self.host.links().reachable_rows()) if not row.leaving]
+        reachable = self.host.links().reachable_rows()
+        if not reachable and self.host.rows.size > 1:
+            # It is cut off, or its links are not up yet.
+            return False
+        rows = [row for row in (own, *reachable) if not row.leaving]
         able = [row for row in rows if row.store_reachable] or rows
         lowest = min(able, key=lambda row: (row.data_centre, row.id), default=None)
         return lowest is own
@@ -446,6 +453,7 @@
 
     def run(self) -> None:
         """Watch the orders whenever this daemon is elected; never returns."""
+        eventlet.sleep(seconds(START_MS))
         while True:
             if not self._host.enabled() or not self._lead.is_leader():
                 eventlet.sleep(seconds(ELECTION_POLL_MS))
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -32,7 +32,6 @@
 retry_ratio = 0.2
 retry_window_ms = 10000
 retry_slack = 60
-{bounds}
 """
 
 
@@ -158,9 +157,9 @@
                 data_centre=data_centre,
                 service=target.service,
                 store=store_port,
-                bounds=bounds,
                 **self.ports,
             )
+            + bounds
         )
         super().__init__(["platform/meshd.py"], folder / f"{id}.log")
 
--- a/tests/test_rolloutspread.py
+++ b/tests/test_rolloutspread.py
@@ -195,14 +195,27 @@
 # Guards against calls of the store, which are priced, by daemons that don't lead or where no
 # settings call for them.
 def test_only_the_leader_asks_the_store_and_only_if_the_settings_call_for_it(monkeypatch):
+    assert watch_for(FakeLead(), CountingStore(), 60) == []
+    monkeypatch.setattr(rolloutlead, "START_MS", 0)
     monkeypatch.setattr(rolloutlead, "ELECTION_POLL_MS", 5)
     assert watch_for(FakeLead(enabled=False), CountingStore(), 60) == []
     assert watch_for(FakeLead(leads=False), CountingStore(), 60) == []
 
 
+# Guards against a daemon that is cut off and takes orders by itself.
+def test_a_daemon_without_any_link_leads_nothing():
+    fleet = Fleet(12, 1)
+    alone = fleet.links_by_id["d00000"]
+    alone.reachable_rows = lambda: [alone.table.rows_by_id["d00001"]]
+    assert alone.rollouts.lead.is_leader()
+    alone.reachable_rows = list
+    assert not alone.rollouts.lead.is_leader()
+
+
 # Guards against more than one call a second, also while the store fails or answers at once.
 @pytest.mark.parametrize("failures", (0, 2))
 def test_the_store_is_asked_once_in_each_interval(monkeypatch, failures):
+    monkeypatch.setattr(rolloutlead, "START_MS", 0)
     monkeypatch.setattr(rolloutlead, "WATCH_INTERVAL_MS", 100)
     calls = watch_for(FakeLead(), CountingStore(failures=failures), 350)
     assert 2 <= len(calls) <= 4
