--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -119,6 +119,7 @@
             or not incarnation.accepts_requests(now)
             or incarnation.service != offer.service
             or self.stopping
+            or not self.host.rollouts.admits(incarnation)
         ):
             reply(self.refusal(offer, RefusalReason.NOT_SERVING, NOT_SERVING_RETRY_AFTER_MS))
             return RefusedOffer()
--- a/egretworks/gateinterface.py
+++ b/egretworks/gateinterface.py
@@ -15,6 +15,7 @@
 from egretworks.httpwire import Response
 from egretworks.linkframes import GateReport, Offer, Outcome, RefusalReason, Refused
 from egretworks.metrics import Metrics
+from egretworks.rolloutlinks import NO_ROLLOUTS, NoRollouts
 from egretworks.runningrequests import RunningRequests
 from egretworks.targetconnections import Exchange
 from egretworks.targettracker import TargetIncarnation
@@ -45,6 +46,8 @@
     answer_budget: ByteBudget
     # Returns whether the retry budgets allow the calls that retries are expected to make.
     allows_calls: Callable[[Mapping[ServiceName, float]], bool]
+    # Tells which requests the version of the target may get, and counts its answers.
+    rollouts: NoRollouts = NO_ROLLOUTS
 
 
 class OfferHandle(Protocol):
--- a/egretworks/gauges.py
+++ b/egretworks/gauges.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -13,6 +13,7 @@
 from egretworks.forwarding import Forwarder
 from egretworks.freshness import ConfigFreshness
 from egretworks.gate import Gate
+from egretworks.linkframes import RolloutStep
 from egretworks.metrics import Gauge
 from egretworks.quotaclient import QuotaClient
 from egretworks.rows import RowTable
@@ -37,6 +38,8 @@
     # Returns the bytes of large frames that wait to be sent over links.
     link_queued_bytes: Callable[[], int]
     quota: QuotaClient
+    # Returns the step of the newest order of each service.
+    rollout_steps: Callable[[], Mapping[ServiceName, RolloutStep]]
 
 
 def read_gauges(sources: GaugeSources) -> Iterable[Gauge]:
@@ -82,6 +85,8 @@
         yield Gauge("quota_tokens_used", "quota tokens used since the start", used, team, "team")
     for service, count in sorted(serving_targets(sources.rows).items()):
         yield Gauge("targets_serving", "targets known to accept requests", count, service)
+    for service, step in sorted(sources.rollout_steps().items()):
+        yield Gauge("rollout_step", "step of the newest order, 1 to 7", step, service)
     now = sources.clock.now()
     for service, budget in sorted(sources.forwarder.budget_by_service.items()):
         left = budget.left(sources.rows.size, now)
--- a/egretworks/linkhost.py
+++ b/egretworks/linkhost.py
@@ -25,6 +25,8 @@
     Pong,
     QuotaGrant,
     QuotaRequest,
+    RolloutEvidence,
+    RolloutStage,
     Rows,
     RowsRequest,
 )
@@ -32,6 +34,7 @@
 from egretworks.membersync import MemberSync
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
+from egretworks.rolloutlinks import NO_ROLLOUTS, NoRollouts
 from egretworks.rows import DaemonRow, RowTable, TargetRow
 from egretworks.timeline import Timeline
 from egretworks.types import InstanceId, Version
@@ -68,6 +71,7 @@
     on_quota: Callable[[QuotaRequest | QuotaGrant, LinkEnd, InstanceId], None] = (
         lambda frame, link, peer: None
     )
+    rollouts: NoRollouts = NO_ROLLOUTS
 
     def hello(self, peer: InstanceId, peer_protocol: int = LINK_PROTOCOL) -> Hello:
         """Return the frame that opens a link to `peer`, whose frames are of `peer_protocol`.
@@ -117,6 +121,10 @@
             self.config.send_config(link, Version(frame.known_version))
         elif isinstance(frame, QuotaRequest | QuotaGrant):
             self.on_quota(frame, link, peer)
+        elif isinstance(frame, RolloutStage):
+            self.rollouts.on_stage(frame, near=link.near)
+        elif isinstance(frame, RolloutEvidence):
+            self.rollouts.on_evidence(frame)
 
     def receive_rows(self, rows: list[DaemonRow]) -> None:
         """Merge `rows`, which a peer has sent, and notify the daemon of what changed."""
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -124,7 +124,7 @@
         # See `ConfigPeer`.
         self.peer_version = NO_VERSION
         self.reads_deltas = False
-        # See `QuotaPeer`.
+        # See `QuotaPeer` and `RolloutPeer`.
         self.peer_protocol = 0
 
     @property
@@ -132,6 +132,12 @@
         """Return the id of the peer daemon."""
         return self.row.id
 
+    @property
+    def version(self) -> str:
+        """Return the version of the peer's target; empty if it is unknown."""
+        target = self.row.target
+        return target.version if target is not None else ""
+
     @property
     def usable(self) -> bool:
         """Return whether the link is up and its send buffer has room for offers."""
@@ -306,6 +312,7 @@
         self._host.timeline.record("link_up", target=self.row.id, detail=self.purpose.value)
         self._query_outcomes()
         self._host.compare_state(hello, self)
+        self._host.rollouts.on_link(self)
 
     def _finish(self, outcome: Outcome) -> None:
         request = self._in_flight_by_serial.pop(outcome.serial, None)
--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -42,6 +42,9 @@
 from egretworks.plannedstop import planned_stop
 from egretworks.quotaclient import QuotaClient, QuotaHost
 from egretworks.quotapool import QuotaBounds
+from egretworks.rollout import RolloutBounds
+from egretworks.rolloutcontrol import Rollouts
+from egretworks.rolloutstate import RolloutHost
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.settingsreload import ReloadableSettings
 from egretworks.storeclients import StoreClients
@@ -114,6 +117,7 @@
         self._freshness = ConfigFreshness(self._clock, lambda: self._config.version)
         self._revocation = RevocationBound(self._revoke_ms)
         self._answer_budget = ByteBudget(int(memory_bytes * ANSWER_MEMORY_FRACTION))
+        self._rollouts = Rollouts(self._rollout_host())
         self._gate = Gate(
             GateHost(
                 self._clock,
@@ -126,6 +130,7 @@
                 self._on_target_changed,
                 self._answer_budget,
                 lambda calls: self._forwarder.allows_calls(calls),
+                self._rollouts,
             )
         )
         self._body_budget = ByteBudget(int(memory_bytes * BODY_MEMORY_FRACTION))
@@ -145,13 +150,14 @@
             self._body_budget,
             OrphanedOffers(self._clock),
             set(),
-            lambda rows: self._links.on_rows_changed(rows),
+            self._on_rows_changed,
             lambda rows: self._links.pass_on(rows),
             lambda row: self._links.publish(row),
             self._gate.target.apply_earlier_row,
             self._freshness,
             self._line,
             lambda frame, link, peer: self._quota.handle(frame, link, peer),
+            self._rollouts,
         )
         self._links = LinkSet(self._link_host, self._config.services, lambda: self._quota.in_use)
         self._quota = QuotaClient(self._quota_host())
@@ -169,6 +175,7 @@
             lambda: log_handler.dropped,
             lambda: self._line.queued_bytes,
             self._quota,
+            self._rollouts.steps,
         )
         self._open_ports()
 
@@ -216,6 +223,7 @@
             self._gate.running_requests,
             KeyCheck(self._config, self._freshness, self._revocation),
             self._quota,
+            self._rollouts,
         )
 
     def _quota_host(self) -> QuotaHost:
@@ -234,6 +242,24 @@
         bounds = self._settings.bounds
         return QuotaBounds(bounds.quota_window_ms, bounds.quota_overshoot, bounds.quota_slack)
 
+    def _rollout_host(self) -> RolloutHost:
+        return RolloutHost(
+            self._clock,
+            self._random,
+            self._timeline,
+            self._metrics,
+            self._edge,
+            self._rows,
+            lambda: self._links,
+            lambda: self._settings.bounds.rollout,
+            self._rollout_bounds,
+            lambda: self._gate.queue.load,
+        )
+
+    def _rollout_bounds(self) -> RolloutBounds:
+        bounds = self._settings.bounds
+        return RolloutBounds(bounds.canary_share, bounds.canary_slack)
+
     def _unspent_since(self) -> Millis:
         settings, now = self._settings, self._clock.now()
         first_start = settings.instance.first_start
@@ -337,8 +363,13 @@
     def _on_config_applied(self) -> None:
         self._gate.target.check_health_if_unconfirmed()
 
+    def _on_rows_changed(self, rows: list[DaemonRow]) -> None:
+        self._links.on_rows_changed(rows)
+        self._rollouts.on_rows_changed()
+
     def _on_target_changed(self) -> None:
         self._links.publish(self._rows.change_own(target=self._gate.row()))
+        self._rollouts.on_rows_changed()
 
     def _schedule_tick(self) -> None:
         call_later(TICK_MS, self._tick, Millis(self._clock.now() + TICK_MS))
@@ -352,6 +383,7 @@
             self._links.excuse_silence(now - due_at)
         self._links.tick(now)
         self._quota.tick(now)
+        self._rollouts.tick(now)
 
     def _handle_signals(self) -> None:
         received = signals.take()
@@ -377,7 +409,12 @@
 
     def _run_store_clients(self) -> None:
         clients = StoreClients(
-            self._link_host, self._links, self._freshness, self._revocation, self._random
+            self._link_host,
+            self._links,
+            self._freshness,
+            self._revocation,
+            self._rollouts,
+            self._random,
         )
         clients.run(lambda: self._connect_store(self._settings.platform.address))
 
--- a/tests/platformwire.py
+++ b/tests/platformwire.py
@@ -76,7 +76,9 @@
     return json.dumps(config).encode()
 
 
-def heartbeat_body(address, service="ledger", state="ready", sequence=1, born=1_000, slots=12):
+def heartbeat_body(
+    address, service="ledger", state="ready", sequence=1, born=1_000, slots=12, version="v1"
+):
     """Return the body of a target's heartbeat in the platform's format."""
     return json.dumps(
         {
@@ -84,7 +86,7 @@
             "born": born,
             "info": {
                 "service": service,
-                "version": "v1",
+                "version": version,
                 "zone": "dc",
                 "maxConcurrency": slots,
             },
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -47,8 +47,9 @@
     close the connection; tests may replace it at any time.
     """
 
-    def __init__(self, service, work_ms=5, slots=4):
+    def __init__(self, service, work_ms=5, slots=4, version="v1"):
         self.service = service
+        self.version = version
         self.work_ms = work_ms
         self.slots = slots
         self.id = f"i-{service}-{free_port()}"
@@ -86,6 +87,7 @@
             changes.get("sequence", self.sequence),
             changes.get("born", self.born),
             self.slots,
+            self.version,
         )
         path = f"/rpc?call=instances.heartbeat&of={self.id}"
         return ask(daemon.ports["announcements"], "POST", path, body)[0]
@@ -148,7 +150,7 @@
 class Sidecar(Process):
     """Run one sidecar daemon as a process."""
 
-    def __init__(self, folder, id, store_port, target, data_centre="dc"):
+    def __init__(self, folder, id, store_port, target, data_centre="dc", bounds=""):
         names = ("calls", "ready", "announcements", "links", "metrics")
         self.id = id
         self.target = target
@@ -162,6 +164,7 @@
                 store=store_port,
                 **self.ports,
             )
+            + bounds
         )
         super().__init__(["platform/meshd.py"], folder / f"{id}.log")
 
@@ -210,11 +213,13 @@
         self.platform = Platform(folder)
         self.sidecars = []
 
-    def add(self, service, data_centre="dc", **options):
+    def add(self, service, data_centre="dc", bounds="", **options):
         """Start a daemon beside a new target of `service`, which is not announced yet."""
         target = Target(service, **options)
         id = f"n{len(self.sidecars)}"
-        self.sidecars.append(Sidecar(self.folder, id, self.platform.port, target, data_centre))
+        self.sidecars.append(
+            Sidecar(self.folder, id, self.platform.port, target, data_centre, bounds)
+        )
         return self.sidecars[-1]
 
     def start(self, *services, version=1):
--- a/tests/simline.py
+++ b/tests/simline.py
@@ -176,7 +176,7 @@
 
     def make_host(self, id):
         line = link_line(self.clock, memory_bytes=self.memory_bytes)
-        return make_host(id, self.clock, self.gate, FakeConfig(), line)
+        return make_host(id, self.clock, self.gate, FakeConfig(), line=line)
 
     def reconnect(self):
         self.clock.run_for(1)
