--- a/tests/loadsim.py
+++ b/tests/loadsim.py
@@ -70,6 +70,8 @@
     held_ms: float = 0.0
     credit: float = 0.0
     owed: float = 0.0
+    # Times of the served requests.
+    took_ms: list[float] = []
 
 
 class RetryRecord:
@@ -143,6 +145,10 @@
         self.kind_by_id = {}
         self.result_by_kind = defaultdict(Result)
         self.arrivals = Counter()
+        # No new requests are made from then on.
+        self.load_ends_at = math.inf
+        # See `SlowMoments`; None for none.
+        self.slow_moments = None
         self.retry_record = RetryRecord()
         self._calls = 0
         self.config = MeshConfig(
@@ -189,6 +195,8 @@
         peak = load.per_s * (1 + load.swing)
 
         def arrive():
+            if self.time.now >= self.load_ends_at:
+                return
             self.time.call_later(self.random.expovariate(peak) * 1_000, arrive)
             if self.random.random() * peak < load.rate(self.time.now):
                 self._begin(load)
@@ -219,6 +227,7 @@
                 result.in_time += in_time
                 result.late += not in_time
                 result.credit += kind.worth if in_time else kind.late_worth
+                result.took_ms.append(took_ms)
                 return
             left_ms = kind.deadline_ms - took_ms
             held = held_ms + self.time.now - sent_at
@@ -244,10 +253,13 @@
         kind = self.kinds[name]
         result = self.result_by_kind[name]
         result.asked += 1
+        sent_at = self.time.now
 
         def answered(response):
             ok = response.status == 200
             result.in_time += ok
+            if ok:
+                result.took_ms.append(self.time.now - sent_at)
             result.refused += response.status == 503
             result.failed += not ok and response.status != 503
             done(ok)
