Search for a free slot before a request waits, in services with few slots

What a daemon knows of a target's load is as old as the last report, up to a second. At 3 slots a request often waits at a target that has filled up meanwhile while others have free slots. Up to three offers now ask for a free slot only (Offer.may_wait, last and with a default: older builds queue the request as before); then the request waits as before. Services with more than 4 slots are offered as before.

--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -32,7 +32,7 @@
 from egretworks.refusals import refusal_response, retry_after_ms
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
-from egretworks.targetselection import TargetEstimate, select_target
+from egretworks.targetselection import FEW_SLOTS, TargetEstimate, select_target
 from egretworks.teams import NO_TEAM, MeshTeam
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
@@ -45,6 +45,10 @@
 # A request that a gate refuses without sending it to its target is offered again until it has had
 # this many offers. Such another offer costs no retry budget, as no target has received the request.
 MAX_OFFERS = 10
+# In services with few slots, a free slot is searched with this many offers before the request
+# waits at a gate: what a daemon knows of a target's load is up to a second old, and at few slots
+# that tells little about which of them are free.
+MAX_SEARCH_OFFERS = 3
 # After this many offers in its own data centre, a request goes wherever it is answered soonest: at
 # a crest the targets of one data centre are full, while others have room.
 MAX_NEAR_OFFERS = 6
@@ -130,7 +134,12 @@
             exchange.request, keyed=self._host.config.teams is not None
         )
         self._tried: list[Destination] = []
+        # Where a free slot was searched in vain.
+        self._searched: list[Destination] = []
+        self._searching = False
         self._offers = 0
+        # Counts all offers, also those that search for a free slot.
+        self._offer_number = 0
         self._call_share = call_share
         # How many targets have received the request, as far as is known.
         self._attempt_count = 0
@@ -148,6 +157,7 @@
         untried = self._untried()
         destinations = self._not_busy(untried) or untried
         estimates = [destination.estimate(now) for destination in destinations]
+        destinations, estimates = self._search_first(destinations, estimates)
         near_offers = sum(destination.near for destination in self._tried)
         index = select_target(estimates, self._host.random, avoid_far=near_offers < MAX_NEAR_OFFERS)
         if index is None or self._deadline - now < 1:
@@ -157,14 +167,33 @@
             return
         destination = destinations[index]
         self._tried.append(destination)
-        self._offers += 1
+        self._offers += not self._searching
         self._log_offer(destination, estimates[index], now)
         self._cancel_offer = None
+        self._offer_number += 1
+        number = self._offer_number
         cancel = destination.offer(self._make_offer(now), self._on_outcome)
         # The outcome may have arrived before `offer` returned, and may have led to another offer.
-        if not self._ended and self._tried[-1] is destination:
+        if not self._ended and self._offer_number == number:
             self._cancel_offer = cancel
 
+    def _search_first(
+        self, destinations: list[Destination], estimates: list[TargetEstimate]
+    ) -> tuple[list[Destination], list[TargetEstimate]]:
+        """Return those that probably have a free slot while one is searched, otherwise all."""
+        self._searching = False
+        if len(self._searched) >= MAX_SEARCH_OFFERS:
+            return destinations, estimates
+        free = [
+            (destination, estimate)
+            for destination, estimate in zip(destinations, estimates, strict=True)
+            if estimate.load < estimate.slots <= FEW_SLOTS and destination not in self._searched
+        ]
+        if not free:
+            return destinations, estimates
+        self._searching = True
+        return [destination for destination, _ in free], [estimate for _, estimate in free]
+
     def on_caller_gone(self) -> None:
         """Cancel the request after its caller has disconnected."""
         if self._end():
@@ -194,6 +223,7 @@
             team=self._team.name,
             team_priority=self._team.priority,
             team_weight=self._team.weight,
+            may_wait=not self._searching,
         )
 
     def _on_outcome(self, outcome: Outcome) -> None:
@@ -218,6 +248,11 @@
         self._deliver(outcome)
 
     def _on_refused(self, outcome: Refused) -> None:
+        if self._searching and outcome.reason is RefusalReason.BUSY:
+            # The request may still wait there if no free slot is found.
+            self._searched.append(self._tried.pop())
+            self.offer_next()
+            return
         self._remember_busy(outcome)
         if outcome.reached_target:
             self._attempt_count += 1
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -166,7 +166,7 @@
             Millis(now + offer.left_ms),
         )
         pending = PendingOffer(self, incarnation, offer, entry, reply)
-        decision = self.queue.enter(entry, now)
+        decision = self.queue.enter(entry, now, may_wait=offer.may_wait)
         if decision.run:
             pending.run()
         elif decision.wait:
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -144,13 +144,15 @@
         used = per_second * self.processing_times.mean / MILLIS_PER_SECOND
         return max(1, min(self.slots, math.ceil(used)))
 
-    def enter(self, entry: QueueEntry, now: Millis) -> AdmissionDecision:
-        """Run or queue `entry`, or refuse it if it would start too late."""
+    def enter(self, entry: QueueEntry, now: Millis, *, may_wait: bool = True) -> AdmissionDecision:
+        """Run or queue `entry`, or refuse it if it would start too late or may not wait."""
         slot_free = self._running < self.slots
         entry.entered_late = self._is_late(entry, now) and not entry.only_attempt
         if slot_free and self._is_next(entry) and self.rate_limit.try_take(now):
             self._running += 1
             return AdmissionDecision(run=True)
+        if not may_wait:
+            return AdmissionDecision()
         entry.latest_start = self._latest_start(entry, now)
         late_ms = now + self._expected_wait_ms(entry, now) - entry.latest_start
         if late_ms > 0:
--- a/egretworks/linkframes.py
+++ b/egretworks/linkframes.py
@@ -116,6 +116,8 @@
     team_priority: int = 0
     # The weight of the team in the fair share of the target's time.
     team_weight: float = 1.0
+    # Whether the request may wait for a slot; if not, it is refused unless one is free.
+    may_wait: bool = True
 
     @property
     def retry_share(self) -> float:
--- a/egretworks/targetselection.py
+++ b/egretworks/targetselection.py
@@ -19,6 +19,9 @@
 # Share by which the estimated processing time rises when all slots of a target are in use; it rises
 # with the square of the used share of the slots.
 FULL_SLOTS_COST = 0.25
+# With at most this many slots at a target, whether one is free changes many times within the second
+# between two reports of its load.
+FEW_SLOTS = 4
 
 
 class TargetEstimate(msgspec.Struct):
