Assume a target without measurements to be as fast as the others

A gate reported 60 ms for a target that had answered nothing yet. Where requests take longer, a target that has just started drew the requests of all daemons while it was cold. With few slots, a gate now reports no processing time until it has measured one, and the offering daemon assumes the mean of the targets it knows.

--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -32,7 +32,12 @@
 from egretworks.refusals import refusal_response, retry_after_ms
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
-from egretworks.targetselection import FEW_SLOTS, TargetEstimate, select_target
+from egretworks.targetselection import (
+    FEW_SLOTS,
+    TargetEstimate,
+    assume_unknown_work,
+    select_target,
+)
 from egretworks.teams import NO_TEAM, MeshTeam
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
@@ -157,6 +162,7 @@
         untried = self._untried()
         destinations = self._not_busy(untried) or untried
         estimates = [destination.estimate(now) for destination in destinations]
+        assume_unknown_work(estimates)
         destinations, estimates = self._search_first(destinations, estimates)
         near_offers = sum(destination.near for destination in self._tried)
         index = select_target(estimates, self._host.random, avoid_far=near_offers < MAX_NEAR_OFFERS)
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -105,7 +105,7 @@
         return GateReport(
             queue.usable_slots,
             queue.load,
-            round(queue.processing_times.mean, 1),
+            round(queue.processing_times.mean, 1) if queue.knows_processing_times else 0.0,
             round(self._failure_rate * 100),
         )
 
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -8,6 +8,7 @@
 
 from egretworks.clock import MILLIS_PER_SECOND, Millis
 from egretworks.ratelimit import RateLimit
+from egretworks.targetselection import FEW_SLOTS
 
 # Assumed processing time until the first requests have been measured.
 INITIAL_PROCESSING_MS = 60.0
@@ -80,6 +81,11 @@
         self.mean = INITIAL_PROCESSING_MS
         self._samples = 0
 
+    @property
+    def measured(self) -> bool:
+        """Return whether any request has been measured."""
+        return self._samples > 0
+
     def mean_of(self, route: str) -> float:
         """Return the mean processing time on `route`, in milliseconds.
 
@@ -135,6 +141,14 @@
         """Return the number of requests that run."""
         return self._running
 
+    @property
+    def knows_processing_times(self) -> bool:
+        """Return whether the mean processing time may be relied on.
+
+        At few slots it takes a target long to answer enough requests to correct a wrong guess.
+        """
+        return self.processing_times.measured or self.slots > FEW_SLOTS
+
     @property
     def usable_slots(self) -> int:
         """Return how many slots are in use on average when the target gets all that it allows."""
--- a/egretworks/outboundlinks.py
+++ b/egretworks/outboundlinks.py
@@ -162,7 +162,7 @@
         return TargetEstimate(
             self._load_of_others + len(self._in_flight_by_serial),
             report.slots or (target.slots if target else 1),
-            report.work_ms or 60.0,
+            report.work_ms,
             report.failing_percent,
             self.near,
             suspect,
--- a/egretworks/targetselection.py
+++ b/egretworks/targetselection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -24,13 +24,17 @@
 FEW_SLOTS = 4
 
 
+# Assumed mean processing time if no target of the service has reported one.
+UNKNOWN_WORK_MS = 60.0
+
+
 class TargetEstimate(msgspec.Struct):
     """Hold what the offering daemon knows about the load of a target."""
 
     # Requests that run or wait.
     load: int
     slots: int
-    # Mean processing time of a request, in milliseconds.
+    # Mean processing time of a request, in milliseconds; 0 if it has not been reported.
     work_ms: float
     failing_percent: int
     # Whether the target is in the data centre of this daemon.
@@ -51,6 +55,20 @@
     return estimate.delay_ms + work_ms * (1.0 + queued / slots + FULL_SLOTS_COST * usage * usage)
 
 
+def assume_unknown_work(estimates: Collection[TargetEstimate]) -> None:
+    """Set the processing times that are unknown to the mean of the others.
+
+    A target that has just started seems neither fast nor slow until it has answered a request.
+    """
+    known = [estimate.work_ms for estimate in estimates if estimate.work_ms]
+    if len(known) == len(estimates):
+        return
+    mean_ms = sum(known) / len(known) if known else UNKNOWN_WORK_MS
+    for estimate in estimates:
+        if not estimate.work_ms:
+            estimate.work_ms = mean_ms if estimate.slots <= FEW_SLOTS else UNKNOWN_WORK_MS
+
+
 def select_target(
     estimates: Iterable[TargetEstimate], random: RandomSource, *, avoid_far: bool = True
 ) -> int | None:
--- a/tests/test_targetselection.py
+++ b/tests/test_targetselection.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from egretworks.targetselection import TargetEstimate, select_target
+from egretworks.targetselection import (
+    FEW_SLOTS,
+    UNKNOWN_WORK_MS,
+    TargetEstimate,
+    assume_unknown_work,
+    select_target,
+)
 
 FREE = TargetEstimate(load=0, slots=10, work_ms=100.0, failing_percent=0, near=True, suspect=False)
 
@@ -45,3 +51,22 @@
 def test_a_suspect_daemon_is_the_last_choice():
     assert chosen(changed(suspect=True), changed(load=50, near=False)) == {1}
     assert chosen(changed(suspect=True)) == {0}
+
+
+# A target that has just started has reported no processing time. A default that is lower than the
+# others' times would draw the requests of all daemons to it while it is still cold.
+def test_a_target_without_measurements_counts_as_fast_as_the_mean_of_the_others():
+    few = {"slots": FEW_SLOTS}
+    estimates = [
+        changed(work_ms=200.0, **few),
+        changed(work_ms=300.0, **few),
+        changed(work_ms=0.0, **few),
+    ]
+    assume_unknown_work(estimates)
+    assert [estimate.work_ms for estimate in estimates] == [200.0, 300.0, 250.0]
+
+
+def test_without_any_measurement_all_targets_count_as_equally_fast():
+    estimates = [changed(work_ms=0.0, slots=FEW_SLOTS), changed(work_ms=0.0)]
+    assume_unknown_work(estimates)
+    assert [estimate.work_ms for estimate in estimates] == [UNKNOWN_WORK_MS] * 2
