--- a/tests/test_gatequeue.py
+++ b/tests/test_gatequeue.py
@@ -32,6 +32,17 @@
     assert queue.enter(entry(), 0.0).wait
 
 
+# A request that searches for a free slot must not end up in a queue, nor affect it.
+def test_a_request_that_may_not_wait_runs_at_once_or_is_refused():
+    queue = busy_queue(slots=2)
+    decision = queue.enter(entry(), 0.0, may_wait=False)
+    assert not decision.run
+    assert not decision.wait
+    assert queue.load == 2
+    queue.release_slot()
+    assert queue.enter(entry(), 1.0, may_wait=False).run
+
+
 def test_waiting_requests_are_ordered_by_priority_then_objective():
     queue = busy_queue()
     urgent = entry(priority=0, arrived=2.0, objective=700.0)
