Test older builds with the new field of offers

Offers of older builds end before the fields that were added since, so the test drops Offer.may_wait along with the earlier ones, and by itself.

--- a/tests/test_linkframes.py
+++ b/tests/test_linkframes.py
@@ -69,11 +69,19 @@
 
 
 TEAM_FIELDS = {"team": "t1", "team_priority": 1, "team_weight": 5.0}
+SEARCH_FIELDS = {"may_wait": False}
 RETRY_FIELDS = {"retry": True, "call_share": 0.5}
 
 
 # Guards against daemons of two builds that close their links while an update is under way.
-@pytest.mark.parametrize("new_fields", [TEAM_FIELDS, RETRY_FIELDS | TEAM_FIELDS])
+@pytest.mark.parametrize(
+    "new_fields",
+    [
+        SEARCH_FIELDS,
+        TEAM_FIELDS | SEARCH_FIELDS,
+        RETRY_FIELDS | TEAM_FIELDS | SEARCH_FIELDS,
+    ],
+)
 def test_offers_of_daemons_of_an_older_build_are_read_both_ways(new_fields):
     offer = msgspec.structs.replace(OFFER, **new_fields)
     older = older_offer(new_fields.keys())
