Merge the choice among uneven targets with few slots

The fake configuration of tests/linkpipes.py lacked teams, which links read since the proofs: test_paused_daemon.py failed.

--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -41,7 +41,12 @@
 from egretworks.rolloutlinks import NO_ROLLOUTS, NoRollouts
 from egretworks.runningrequests import RunningRequests
 from egretworks.streams import call_later
-from egretworks.targetselection import TargetEstimate, select_target
+from egretworks.targetselection import (
+    FEW_SLOTS,
+    TargetEstimate,
+    assume_unknown_work,
+    select_target,
+)
 from egretworks.teams import NO_TEAM, MeshTeam
 from egretworks.types import CallId, RandomSource, Repeat, ServiceName
 
@@ -54,6 +59,10 @@
 # A request that a gate refuses without sending it to its target is offered again until it has had
 # this many offers. Such another offer costs no retry budget, as no target has received the request.
 MAX_OFFERS = 10
+# In services with few slots, a free slot is searched with this many offers before the request
+# waits at a gate: what a daemon knows of a target's load is up to a second old, and at few slots
+# that tells little about which of them are free.
+MAX_SEARCH_OFFERS = 3
 # After this many offers in its own data centre, a request goes wherever it is answered soonest: at
 # a crest the targets of one data centre are full, while others have room.
 MAX_NEAR_OFFERS = 6
@@ -144,7 +153,12 @@
         )
         self._versions = self._host.rollouts.begin_call(self._service)
         self._tried: list[Destination] = []
+        # Where a free slot was searched in vain.
+        self._searched: list[Destination] = []
+        self._searching = False
         self._offers = 0
+        # Counts all offers, also those that search for a free slot.
+        self._offer_number = 0
         self._call_share = call_share
         # How many targets have received the request, as far as is known.
         self._attempt_count = 0
@@ -173,6 +187,8 @@
         untried = self._untried()
         destinations = self._not_busy(untried) or untried
         estimates = [destination.estimate(now) for destination in destinations]
+        assume_unknown_work(estimates)
+        destinations, estimates = self._search_first(destinations, estimates)
         near_offers = sum(destination.near for destination in self._tried)
         index = select_target(estimates, self._host.random, avoid_far=near_offers < MAX_NEAR_OFFERS)
         if index is None or self._deadline - now < 1:
@@ -182,14 +198,33 @@
             return
         destination = destinations[index]
         self._tried.append(destination)
-        self._offers += 1
+        self._offers += not self._searching
         self._log_offer(destination, estimates[index], now)
         self._cancel_offer = None
+        self._offer_number += 1
+        number = self._offer_number
         cancel = destination.offer(self._make_offer(now), self._on_outcome)
         # The outcome may have arrived before `offer` returned, and may have led to another offer.
-        if not self._ended and self._tried[-1] is destination:
+        if not self._ended and self._offer_number == number:
             self._cancel_offer = cancel
 
+    def _search_first(
+        self, destinations: list[Destination], estimates: list[TargetEstimate]
+    ) -> tuple[list[Destination], list[TargetEstimate]]:
+        """Return those that probably have a free slot while one is searched, otherwise all."""
+        self._searching = False
+        if len(self._searched) >= MAX_SEARCH_OFFERS:
+            return destinations, estimates
+        free = [
+            (destination, estimate)
+            for destination, estimate in zip(destinations, estimates, strict=True)
+            if estimate.load < estimate.slots <= FEW_SLOTS and destination not in self._searched
+        ]
+        if not free:
+            return destinations, estimates
+        self._searching = True
+        return [destination for destination, _ in free], [estimate for _, estimate in free]
+
     def on_caller_gone(self) -> None:
         """Cancel the request after its caller has disconnected."""
         if self._end(not_run=not self._tried):
@@ -229,6 +264,7 @@
             team=self._team.name,
             team_priority=self._team.priority,
             team_weight=self._team.weight,
+            may_wait=not self._searching,
         )
 
     def _on_outcome(self, outcome: Outcome) -> None:
@@ -253,6 +289,11 @@
         self._deliver(outcome)
 
     def _on_refused(self, outcome: Refused) -> None:
+        if self._searching and outcome.reason is RefusalReason.BUSY:
+            # The request may still wait there if no free slot is found.
+            self._searched.append(self._tried.pop())
+            self.offer_next()
+            return
         self._remember_busy(outcome)
         if outcome.reason is RefusalReason.NOT_SERVING:
             self._host.rollouts.on_not_serving(self._service, self._tried[-1].name)
@@ -310,8 +351,10 @@
         now = self._host.clock.now()
         in_time = self._objective_at - now >= self._route.objective_ms * MIN_OBJECTIVE_LEFT_SHARE
         if outcome.reason is RefusalReason.BUSY and in_time:
-            daemon = self._tried[-1].name
-            self._forwarder.refusals.record(daemon, self._route.name, outcome.retry_after_ms, now)
+            self._forwarder.refusals.record(
+                *(self._tried[-1].name, self._route.name, outcome.retry_after_ms, now),
+                few_slots=outcome.report.slots <= FEW_SLOTS,
+            )
 
     def _not_busy(self, destinations: list[Destination]) -> list[Destination]:
         """Return those of `destinations` that have not refused a request of the route just now."""
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -79,7 +79,7 @@
         return GateReport(
             queue.usable_slots,
             queue.load,
-            round(queue.processing_times.mean, 1),
+            round(queue.processing_times.mean, 1) if queue.knows_processing_times else 0.0,
             round(self._failure_rate * 100),
         )
 
@@ -137,7 +137,7 @@
             offer.team_weight,
         )
         pending = PendingOffer(self, incarnation, offer, entry, reply)
-        decision = self.queue.enter(entry, now)
+        decision = self.queue.enter(entry, now, may_wait=offer.may_wait)
         if decision.run:
             pending.run()
         elif decision.wait:
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -9,6 +9,7 @@
 from egretworks.clock import MILLIS_PER_SECOND, Millis
 from egretworks.fairshare import FairShares
 from egretworks.ratelimit import RateLimit
+from egretworks.targetselection import FEW_SLOTS
 
 # Assumed processing time until the first requests have been measured.
 INITIAL_PROCESSING_MS = 60.0
@@ -87,6 +88,11 @@
         self.mean = INITIAL_PROCESSING_MS
         self._samples = 0
 
+    @property
+    def measured(self) -> bool:
+        """Return whether any request has been measured."""
+        return self._samples > 0
+
     def mean_of(self, route: str) -> float:
         """Return the mean processing time on `route`, in milliseconds.
 
@@ -150,6 +156,14 @@
         """Return the number of requests that run."""
         return self._running
 
+    @property
+    def knows_processing_times(self) -> bool:
+        """Return whether the mean processing time may be relied on.
+
+        At few slots it takes a target long to answer enough requests to correct a wrong guess.
+        """
+        return self.processing_times.measured or self.slots > FEW_SLOTS
+
     @property
     def usable_slots(self) -> int:
         """Return how many slots are in use on average when the target gets all that it allows."""
@@ -159,14 +173,16 @@
         used = per_second * self.processing_times.mean / MILLIS_PER_SECOND
         return max(1, min(self.slots, math.ceil(used)))
 
-    def enter(self, entry: QueueEntry, now: Millis) -> AdmissionDecision:
-        """Run or queue `entry`, or refuse it if it would start too late."""
+    def enter(self, entry: QueueEntry, now: Millis, *, may_wait: bool = True) -> AdmissionDecision:
+        """Run or queue `entry`, or refuse it if it would start too late or may not wait."""
         self._shares.record_arrival(entry.team, entry.team_priority, entry.team_weight, now)
         slot_free = self._running < self.slots
         entry.entered_late = self._is_late(entry, now) and not entry.only_attempt
         if slot_free and self._is_next(entry, now) and self.rate_limit.try_take(now):
             self._start(entry, now)
             return AdmissionDecision(run=True)
+        if not may_wait:
+            return AdmissionDecision()
         entry.latest_start = self._latest_start(entry, now)
         late_ms = now + self._expected_wait_ms(entry, now) - entry.latest_start
         if late_ms > 0:
--- a/tests/linkpipes.py
+++ b/tests/linkpipes.py
@@ -35,6 +35,7 @@
 
 class FakeConfig:
     version = 1
+    teams = None
 
     def on_peer_version(self, version, peer):
         pass
