--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -72,6 +72,8 @@
 # The same while all requests go to the version: earlier answers say little about it at full load.
 RECENT_AT_LOAD_MS = 800.0
 SNAPSHOT_MS = 200.0
+# Shortest time between judgements before the trial; one takes 6 ms with 78 targets and 8 routes.
+JUDGE_MS = 300.0
 # A version is rolled back once its answers have been too slow for this long: cold targets and other
 # short disturbances pass. While all requests go to it, waiting would cost too many of them.
 SLOW_LASTS_MS = 1_500.0
@@ -133,6 +135,7 @@
         self._reported_at: dict[tuple[str, int], Millis] = {}
         self._allowed = {(quota.daemon, quota.incarnation): quota.allowed for quota in stage.quotas}
         self._snapshots: deque[tuple[Millis, EvidenceTable]] = deque()
+        self._judged_at = Millis(now - JUDGE_MS)
         # Since when the answers have always been far slower than those of the old version.
         self._slow_since: Millis | None = None
         # What the last change of the step was decided by.
@@ -169,7 +172,7 @@
             return None
         new = [target for target in targets if target.version == self.stage.target_version]
         old = [target for target in targets if target.version != self.stage.target_version]
-        verdict = self._verdict(now) if may_go_back else ""
+        verdict = self._verdict(now) if may_go_back and self._is_judged(now) else ""
         if verdict:
             step, self.reason = RolloutStep.ROLLED_BACK, verdict
         else:
@@ -240,6 +243,13 @@
         lasts_ms = SLOW_LASTS_MS if self.stage.step < RolloutStep.TRIAL else SLOW_LASTS_AT_LOAD_MS
         return slow if now - self._slow_since >= lasts_ms else ""
 
+    def _is_judged(self, now: Millis) -> bool:
+        """Return whether the reports are judged now: reports are rarer before the trial."""
+        if self.stage.step < RolloutStep.TRIAL and now - self._judged_at < JUDGE_MS:
+            return False
+        self._judged_at = now
+        return True
+
     def _since(self, at: float, table: EvidenceTable) -> EvidenceTable:
         """Return what has been added to `table` since about `at`.
 
