Split the ports of meshd off sidecar.py

Change: sidecarports.py opens the ports and serves readiness checks, heartbeats and metrics; no change of behaviour.

--- a/egretworks/sidecar.py
+++ b/egretworks/sidecar.py
@@ -9,7 +9,6 @@
 
 import eventlet
 import eventlet.event
-import msgspec
 
 from egretworks import logs, signals
 from egretworks.bytebudget import ByteBudget
@@ -18,16 +17,13 @@
 from egretworks.config import SidecarSettings, read_sidecar_settings
 from egretworks.configholder import ConfigHolder
 from egretworks.destinations import Destination, LocalDestination
-from egretworks.edge import Edge, Heartbeat
-from egretworks.exceptions import BadRequest, SettingsError
+from egretworks.edge import Edge
 from egretworks.forwardedcall import ForwardHost
 from egretworks.forwarding import Forwarder
 from egretworks.freshness import ConfigFreshness, RevocationBound
 from egretworks.gate import Gate
 from egretworks.gateinterface import GateHost
 from egretworks.gauges import GaugeSources, read_gauges
-from egretworks.httpport import HttpExchange, HttpPort
-from egretworks.httpwire import Response, error_response
 from egretworks.inboundlinks import InboundLink
 from egretworks.keycheck import KeyCheck
 from egretworks.linepacer import LinePacer
@@ -36,7 +32,6 @@
 from egretworks.linkset import LinkSet
 from egretworks.membersync import MemberSync
 from egretworks.meshretrybudget import RetryBounds
-from egretworks.meshroutes import CallerLimits
 from egretworks.metrics import Metrics
 from egretworks.orphanedoffers import OrphanedOffers
 from egretworks.plannedstop import planned_stop
@@ -47,11 +42,12 @@
 from egretworks.rolloutstate import RolloutHost
 from egretworks.rows import DaemonRow, RowTable
 from egretworks.settingsreload import ReloadableSettings
+from egretworks.sidecarports import PortHost, SidecarPorts
 from egretworks.storeclients import StoreClients
 from egretworks.storesync import Store
-from egretworks.streams import Listener, Stream, call_later, use_time_since_boot
+from egretworks.streams import Stream, call_later, use_time_since_boot
 from egretworks.timeline import Timeline
-from egretworks.types import DataCentre, Endpoint, InstanceId, ServiceName, parse_endpoint
+from egretworks.types import DataCentre, InstanceId, ServiceName
 
 # Interval at which outbound links are checked for reconnects, pings and timeouts.
 TICK_MS = 50
@@ -59,8 +55,6 @@
 LOGGED_LOOP_DELAY_MS = 250.0
 # A tick that is this late means that the process was paused or got no processor.
 PAUSE_MS = 150.0
-# Interval at which connections of the HTTP ports are checked for timeouts.
-SWEEP_MS = 500
 # Readiness checks run every second, and two failures take a daemon out of rotation; this is
 # slightly longer.
 OUT_OF_ROTATION_MS = 2_200
@@ -69,8 +63,6 @@
 # Part of the grace period that is kept back for closing what is still open.
 MIN_GRACE_LEFT_MS = 700
 DRAIN_POLL_MS = 25
-# Longest body on the ports that take no callers' requests; a heartbeat has less than 1 KB.
-MAX_CONTROL_BODY_BYTES = 65_536
 # Fraction of the memory limit that request bodies may occupy.
 BODY_MEMORY_FRACTION = 0.25
 # Fraction of the memory limit that arriving answers, and large frames of links, may occupy.
@@ -134,7 +126,7 @@
             )
         )
         self._body_budget = ByteBudget(int(memory_bytes * BODY_MEMORY_FRACTION))
-        self._control_budget = ByteBudget(int(memory_bytes * CONTROL_MEMORY_FRACTION))
+        control_budget = ByteBudget(int(memory_bytes * CONTROL_MEMORY_FRACTION))
         pacer = LinePacer(lambda: self._settings.bounds.link_mbps)
         self._line = LinkLine(pacer, self._clock, self._answer_budget)
         self._local_destination = LocalDestination(self._gate, own_row.id)
@@ -177,7 +169,7 @@
             self._quota,
             self._rollouts.steps,
         )
-        self._open_ports()
+        self._ports = SidecarPorts(self._port_host(control_budget))
 
     @property
     def _settings(self) -> SidecarSettings:
@@ -195,7 +187,7 @@
             self._timeline.record("stopped", detail="while starting")
             return
         self._schedule_tick()
-        call_later(SWEEP_MS, self._sweep)
+        self._ports.start_sweeping()
         eventlet.spawn_n(self._reloadable.poll)
         eventlet.spawn_n(self._run_store_clients)
         self._stopped.wait()
@@ -260,6 +252,23 @@
         bounds = self._settings.bounds
         return RolloutBounds(bounds.canary_share, bounds.canary_slack)
 
+    def _port_host(self, control_budget: ByteBudget) -> PortHost:
+        return PortHost(
+            self._settings,
+            self._clock,
+            self._edge,
+            self._timeline,
+            self._config,
+            lambda: self._stopping,
+            self._forwarder.serve,
+            self._forwarder.record_rejection,
+            self._accept_link,
+            self._gate.apply_announcement,
+            lambda: self._metrics.page(lambda: read_gauges(self._gauge_sources)),
+            self._body_budget,
+            control_budget,
+        )
+
     def _unspent_since(self) -> Millis:
         settings, now = self._settings, self._clock.now()
         first_start = settings.instance.first_start
@@ -273,49 +282,6 @@
         bounds = self._settings.bounds
         return RetryBounds(bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack)
 
-    def _open_ports(self) -> None:
-        listen = self._settings.listen
-        host = self._settings.instance.host
-        try:
-            self._ready_port = self._control_port(parse_endpoint(listen.ready), self._serve_ready)
-            self._announcement_port = self._control_port(
-                parse_endpoint(listen.announcements), self._serve_announcement
-            )
-            self._call_port = self._http_port(
-                parse_endpoint(listen.calls),
-                self._forwarder.serve,
-                lambda: self._config.limits,
-                self._body_budget,
-            )
-            self._link_listener = Listener(Endpoint(host, listen.link_port), self._accept_link)
-            self._metrics_port = self._control_port(
-                Endpoint(host, listen.metrics_port), self._serve_metrics
-            )
-        except OSError as error:
-            raise SettingsError(
-                f"a port of instance {self._settings.instance.id!r} can't be opened: {error}"
-            ) from error
-
-    def _control_port(self, endpoint: Endpoint, serve: Callable[[HttpExchange], None]) -> HttpPort:
-        """Open a port for short requests, which don't compete for memory with those of callers."""
-
-        def limits() -> CallerLimits:
-            in_force = self._config.limits
-            return msgspec.structs.replace(in_force, max_body_bytes=MAX_CONTROL_BODY_BYTES)
-
-        return self._http_port(endpoint, serve, limits, self._control_budget)
-
-    def _http_port(
-        self,
-        endpoint: Endpoint,
-        serve: Callable[[HttpExchange], None],
-        limits: Callable[[], CallerLimits],
-        budget: ByteBudget,
-    ) -> HttpPort:
-        return HttpPort(
-            endpoint, self._clock, limits, serve, budget, self._forwarder.record_rejection
-        )
-
     def _destinations(self, service: ServiceName) -> list[Destination]:
         """Return the local target and the links, as far as they can currently serve `service`."""
         destinations: list[Destination] = []
@@ -325,38 +291,6 @@
         destinations += self._links.serving(service)
         return destinations
 
-    def _serve_ready(self, exchange: HttpExchange) -> None:
-        ready = self._config.config is not None and not self._stopping
-        is_check = self._edge.is_readiness_check(exchange.request)
-        status = 404 if not is_check else 200 if ready else 503
-        exchange.respond(Response(status, [], b""))
-
-    def _serve_announcement(self, exchange: HttpExchange) -> None:
-        try:
-            announcement = self._edge.read_announcement(exchange.request)
-            if isinstance(announcement, Heartbeat):
-                self._check_heartbeat(announcement)
-        except BadRequest as error:
-            self._timeline.record("announcement_refused", detail=error.message)
-            exchange.respond(error_response(error))
-            return
-        self._gate.apply_announcement(announcement)
-        exchange.respond(Response(200, [(b"Content-Type", b"application/json")], b"{}"))
-
-    def _check_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Raise `BadRequest` for a target on another instance or of an undefined service."""
-        if heartbeat.endpoint.host != self._settings.instance.host:
-            raise BadRequest(
-                f"target {heartbeat.id} at {heartbeat.endpoint} is not on this instance"
-            )
-        config = self._config.config
-        if config is not None and heartbeat.service not in config.services_by_name:
-            raise BadRequest(f"target {heartbeat.id}: service {heartbeat.service!r} is not defined")
-
-    def _serve_metrics(self, exchange: HttpExchange) -> None:
-        body = self._metrics.page(lambda: read_gauges(self._gauge_sources))
-        exchange.respond(Response(200, [(b"Content-Type", b"text/plain")], body))
-
     def _accept_link(self, stream: Stream) -> None:
         InboundLink(self._link_host, stream)
 
@@ -397,16 +331,6 @@
         if delay_ms > LOGGED_LOOP_DELAY_MS:
             self._timeline.record("loop_delayed", facts={"late_ms": round(delay_ms, 1)})
 
-    def _sweep(self) -> None:
-        call_later(SWEEP_MS, self._sweep)
-        for port in (
-            self._call_port,
-            self._announcement_port,
-            self._ready_port,
-            self._metrics_port,
-        ):
-            port.sweep()
-
     def _run_store_clients(self) -> None:
         clients = StoreClients(
             self._link_host,
@@ -428,12 +352,12 @@
         self._gate.stopping = True
         self._links.publish(self._rows.change_own(leaving=True, target=self._gate.row()))
         eventlet.sleep(seconds(ROW_PROPAGATION_MS))
-        self._call_port.closing = True
-        self._call_port.stop_listening()
-        self._call_port.close_idle()
+        self._ports.calls.closing = True
+        self._ports.calls.stop_listening()
+        self._ports.calls.close_idle()
         while self._clock.now() < stop.ends_at and self._busy():
             eventlet.sleep(seconds(DRAIN_POLL_MS))
-            self._call_port.close_idle()
+            self._ports.calls.close_idle()
         self._timeline.record(
             "stopped", detail=f"calls={self._forwarder.in_flight} runs={self._gate.running}"
         )
@@ -442,7 +366,7 @@
         self._stopped.send()
 
     def _busy(self) -> bool:
-        if self._forwarder.in_flight or self._gate.running or self._call_port.busy:
+        if self._forwarder.in_flight or self._gate.running or self._ports.calls.busy:
             return True
         # The outcomes of other daemons' requests.
         return any(inbound.unsent_bytes for inbound in self._link_host.inbound_links)
