Reword comments and private names of the quotas, roll-outs and links

Cause: a newcomer's read-through of what was added since found comments that were unclear, doc comments that were no imperative, and private names that are not the field's usual terms. Change: wording only. RolloutLead: _consider is _reconcile, _adopt_end is _adopt_final_status, _Ordered is _StoredOrder. RolloutPlan: _grant is _allocate_quotas, _is_judged (which also records the time) is _begin_judgement, _since is _added_since. FrameQueue: _may_continue is _may_send. Reasons and figures behind constants are kept. The syntax trees of the 18 files, less doc comments and these names, are the same as before. No other tests were run.

--- a/egretworks/fairshare.py
+++ b/egretworks/fairshare.py
@@ -8,7 +8,7 @@
 
 from egretworks.clock import Millis
 
-# Time constant with which admitted processing time is forgotten. A refused caller returns after
+# Time constant of the exponential decay of admitted processing time. A refused caller returns after
 # about a second, by which time the order should depend on what its team has had since.
 DECAY_MS = 1_000.0
 # A team is over its share from when it has had, by weight, more than the other active teams
--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -59,9 +59,9 @@
 # A request that a gate refuses without sending it to its target is offered again until it has had
 # this many offers. Such another offer costs no retry budget, as no target has received the request.
 MAX_OFFERS = 10
-# In services with few slots, a free slot is searched with this many offers before the request
-# waits at a gate: what a daemon knows of a target's load is up to a second old, and at few slots
-# that tells little about which of them are free.
+# In services with few slots, up to this many offers search for a free slot before the request
+# waits at a gate: a daemon's knowledge of a target's load is up to a second old, and at few slots
+# it tells little about which of them are free.
 MAX_SEARCH_OFFERS = 3
 # After this many offers in its own data centre, a request goes wherever it is answered soonest: at
 # a crest the targets of one data centre are full, while others have room.
@@ -153,7 +153,7 @@
         )
         self._versions = self._host.rollouts.begin_call(self._service)
         self._tried: list[Destination] = []
-        # Where a free slot was searched in vain.
+        # Destinations that were offered the request and had no free slot.
         self._searched: list[Destination] = []
         self._searching = False
         self._offers = 0
@@ -211,7 +211,7 @@
     def _search_first(
         self, destinations: list[Destination], estimates: list[TargetEstimate]
     ) -> tuple[list[Destination], list[TargetEstimate]]:
-        """Return those that probably have a free slot while one is searched, otherwise all."""
+        """Return the destinations that probably have a free slot, or all if the search is over."""
         self._searching = False
         if len(self._searched) >= MAX_SEARCH_OFFERS:
             return destinations, estimates
@@ -310,7 +310,7 @@
             self._refuse(outcome.retry_after_ms, outcome.reason.name.lower())
 
     def _waited_late(self, outcome: Refused) -> bool:
-        """Return whether the request has waited at a gate though it was late, and in vain."""
+        """Return whether the request was late, waited at a gate and got no slot."""
         is_late = self._host.clock.now() > self._objective_at
         return is_late and outcome.reason is RefusalReason.EXPIRED
 
--- a/egretworks/framequeue.py
+++ b/egretworks/framequeue.py
@@ -65,7 +65,7 @@
         self._reserved_bytes = 0
         # Frames other than offers and outcomes.
         self._urgent_frames = 0
-        # Bytes that have not been handed out yet.
+        # Bytes that `next_part` has not returned yet.
         self.waiting_bytes = 0
 
     def add(self, kind: str, payload: bytes, serial: int | None = None) -> bool:
@@ -92,7 +92,7 @@
         return True
 
     def next_part(self, max_bytes: int) -> QueuedPart | None:
-        """Hand out the next part, of at most `max_bytes`, or return None if nothing waits."""
+        """Return the next part, of at most `max_bytes`, or None if nothing waits."""
         frame = self._select()
         if frame is None:
             return None
@@ -159,11 +159,11 @@
             return None
         self._parts += 1
         oldest = next(iter(self._frames_by_stream.values()))
-        if self._parts % OLDEST_FRAME_INTERVAL == 0 and self._may_continue(oldest):
+        if self._parts % OLDEST_FRAME_INTERVAL == 0 and self._may_send(oldest):
             return oldest
         candidates = list(self._started_by_stream.values())
         unstarted = self._first_unstarted()
-        if unstarted is not None and self._may_continue(unstarted):
+        if unstarted is not None and self._may_send(unstarted):
             candidates.append(unstarted)
         return min(candidates, key=lambda frame: (frame.rank, frame.stream))
 
@@ -176,7 +176,7 @@
             heappop(self._unstarted)
         return None
 
-    def _may_continue(self, frame: _QueuedFrame) -> bool:
+    def _may_send(self, frame: _QueuedFrame) -> bool:
         """Return whether `frame` is started or the receiver accepts one more."""
         if frame.stream in self._started_by_stream:
             return True
--- a/egretworks/gate.py
+++ b/egretworks/gate.py
@@ -173,7 +173,7 @@
         over_share = self.queue.is_over_share(offer.team, self.host.clock.now())
         if over_share and reason in SCHEDULING_REASONS:
             self.host.metrics.count("gate_over_share_refusals")
-        # Lines about requests without a team are as they were before there were teams.
+        # Log lines of requests without a team have no team facts.
         team_facts = {"team": offer.team, "over_share": over_share} if offer.team else {}
         self.host.calls.failure(
             "gate_refused",
--- a/egretworks/gatequeue.py
+++ b/egretworks/gatequeue.py
@@ -314,7 +314,7 @@
         return latest
 
     def _refuses_late(self, entry: QueueEntry, now: Millis) -> bool:
-        """Return whether `entry` would wait in vain if it is late, as others have done."""
+        """Return whether `entry` is refused if late, as late ones have expired in the queue."""
         order = self._team_order(entry, now)
         return any(
             other <= order and entry.arrived < until
--- a/egretworks/inboundlinks.py
+++ b/egretworks/inboundlinks.py
@@ -141,7 +141,7 @@
             if request is not None:
                 self._cancel(request)
             else:
-                # The rest of a response that has been given already.
+                # The request has been answered, but the response may not have been sent completely.
                 self._stream.drop(frame.serial)
         elif isinstance(frame, Ping):
             self._handle_ping(frame)
--- a/egretworks/linkline.py
+++ b/egretworks/linkline.py
@@ -10,7 +10,7 @@
 from egretworks.linepacer import LinePacer
 from egretworks.streams import Timer, call_later
 
-# The event loop cannot keep shorter times.
+# Shortest delay that the event loop's timers keep.
 MIN_TIMER_MS = 1.0
 
 
@@ -32,8 +32,8 @@
 class LinkLine:
     """Share the machine's network line among the links of a daemon.
 
-    Each link that can send a part has one turn after the other, at the rate of the pacer; those
-    with rows or a configuration to send go first.
+    Links with a part to send take turns (round robin) at the rate of the pacer; those with rows or
+    a configuration to send go first.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         self._pacer.charge(size, self._clock.now())
 
     def wake(self, link: PartSource) -> None:
-        """Let `link` have its turn, as a part of it waits and its connection accepts data."""
+        """Schedule `link`, which has a part to send and whose connection accepts data."""
         if link.queued_bytes:
             self._ready.setdefault(link)
             self._send_parts()
--- a/egretworks/quotaclient.py
+++ b/egretworks/quotaclient.py
@@ -1,7 +1,7 @@
 """Get quota tokens for callers' requests from the pools, over links to the daemons that keep them.
 
-All requests that wait for tokens of one pool go into one frame, and what comes until its answer
-goes into the next. Without an answer the next daemon in rank is asked, and then this daemon's own
+Requests that wait for tokens of one pool are sent in one frame; those that arrive before its answer
+are sent in the next. Without an answer the next daemon in rank is asked, and then this daemon's own
 share is used.
 """
 
@@ -32,21 +32,22 @@
 from egretworks.teams import MeshTeam
 from egretworks.types import InstanceId, RandomSource
 
-# Interval at which time is deposited without a request. With the delay of a timer it must stay
-# below `quotashare.MAX_MINTED_MS`.
+# Interval at which minted time is deposited without a request. With the delay of a timer it must
+# stay below `quotashare.MAX_MINTED_MS`.
 DEPOSIT_MS = 380
-# The same while tokens are to be given back, which expire.
+# The same while tokens wait to be returned, since they expire.
 RETURN_MS = 200
 # A daemon that did not answer in time is not asked again for this long.
 AVOIDED_MS = 2_000
 # The same for a daemon to which the link was not up in time; it may be up soon.
 CONNECTING_AVOIDED_MS = 500
-# A request is sent to this many daemons before the own share is used.
+# A request is sent to this many daemons before this daemon's own share is used.
 MAX_ATTEMPTS = 2
-# Callers that are refused together are told times that differ by up to this share.
+# Retry times are extended randomly by up to this share, so that callers that are refused together
+# don't retry together.
 RETRY_AFTER_JITTER = 0.25
 MIN_RETRY_AFTER_MS = 30.0
-# The teams that have used most tokens have a gauge each; the others are summed.
+# This many teams, those that have used most tokens, have a gauge each; the others are summed.
 TOP_TEAMS = 5
 
 
@@ -85,7 +86,7 @@
 
 
 class TicketState(Enum):
-    """State of a request that needs a token: it waits for one, has one, or needs none anymore."""
+    """Tell whether a request waits for a token, has one, or no longer needs one."""
 
     WAITING = "waiting"
     GRANTED = "granted"
@@ -96,7 +97,7 @@
     """Hold a caller's request while it waits for a token, and the token that it got.
 
     `decide` is called once, unless the ticket is cancelled before: with None if the request has a
-    token, else with the error to answer and after how many milliseconds the caller should return.
+    token, else with the error to answer and the milliseconds after which the caller should retry.
     """
 
     def __init__(
@@ -107,14 +108,14 @@
         self.state = TicketState.WAITING
         self.pool = 0
         self.asked_at = Millis(0)
-        # To how many daemons the request for the token was sent in vain.
+        # Number of daemons that were asked for the token and did not answer.
         self.attempts = 0
-        # When the token came into the pool, or earlier.
+        # Earliest time at which the token can have come into the pool.
         self.minted_at = Millis(0)
 
 
 class _Pending(msgspec.Struct):
-    """The request to a pool that is not answered yet."""
+    """Hold a request to a pool that is not answered yet."""
 
     serial: int
     keeper: InstanceId
@@ -123,7 +124,7 @@
 
 
 class _Pool:
-    """Hold what this daemon has to do with one pool."""
+    """Hold the state of this daemon as a client of one pool."""
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -147,8 +148,8 @@
         self._own_id = host.rows.own.id
         self._share = QuotaShare(first_start=host.first_start)
         self._pools = [_Pool(number) for number in range(POOLS)]
-        # Pools that this daemon keeps for others, and the tokens that it mints for itself when no
-        # other daemon answers.
+        # The pools that this daemon keeps, and those it uses for its own share when no other daemon
+        # answers.
         self._kept = QuotaPools(self.limited_teams, host.bounds)
         self._local = QuotaPools(self.limited_teams, host.bounds)
         self._avoided_until_by_id: dict[InstanceId, Millis] = {}
@@ -204,7 +205,7 @@
                 link.send_frame(grant)
 
     def tick(self, now: Millis) -> None:
-        """Time requests to pools out, and deposit what is due at `now`."""
+        """Time out requests to pools, and make the deposits that are due at `now`."""
         in_use = self.in_use
         if in_use and (self._updated_at is None or now - self._updated_at >= DEPOSIT_MS):
             self._update(now)
@@ -219,7 +220,7 @@
                 self._send_waiting(pool, now)
 
     def uses(self) -> Iterator[tuple[str, int]]:
-        """Yield the teams that have used most tokens, and `others`, with their numbers of them."""
+        """Yield the number of tokens used by each of the top teams, and by the `others`."""
         top = self._granted_by_team.most_common(TOP_TEAMS)
         yield from top
         others = self._granted_by_team.total() - sum(number for _, number in top)
@@ -227,7 +228,7 @@
             yield "others", others
 
     def _update(self, now: Millis) -> None:
-        """Follow changes of the rows."""
+        """Update the share and the ranks of keepers from the rows."""
         rows = self._host.rows
         self._share.update(rows.own, rows.all_rows(), now, rows.listed)
         self._updated_at = now
@@ -278,7 +279,7 @@
     ) -> QuotaRequest:
         """Return the request for `pool`, which may be on its way for `transit_ms`.
 
-        Returned tokens are taken for that much older, so that none is renewed on its way.
+        It adds `transit_ms` to the age of returned tokens, so the transfer extends no lifetime.
         """
         wanted = Counter(ticket.team.name for ticket in tickets)
         returned, pool.returned = pool.returned, []
@@ -313,9 +314,9 @@
             self._send_waiting(pool, now)
 
     def _time_out(self, pool: _Pool, now: Millis, *, avoid: bool) -> None:
-        """Give up the request that is pending, and ask the next daemon or use the own share.
+        """Abandon the pending request, and ask the next daemon or use this daemon's own share.
 
-        `avoid` is false if this daemon was paused, which says nothing about the other one.
+        `avoid` is false if this daemon was paused, as the other one may have answered in time.
         """
         pending, pool.pending = pool.pending, None
         if avoid:
@@ -349,14 +350,14 @@
         *,
         reached: bool = True,
     ) -> None:
-        """Decide the waiting requests by what was granted; return tokens that are left over.
+        """Grant or refuse the waiting requests; return tokens of those that have ended.
 
         `reached` is false if no pool answered, so that it isn't known whether teams are over quota.
         """
         grant_by_team = {each.team: each for each in grant.granted}
         left_by_team = {each.team: each.tokens for each in grant.granted}
         refused_by_team: Counter[str] = Counter()
-        # Tokens for requests that have ended meanwhile go to the others first.
+        # Requests that still wait come first, and get the tokens of those that have ended.
         for ticket in sorted(tickets, key=lambda each: each.state is not TicketState.WAITING):
             name = ticket.team.name
             granted = grant_by_team.get(name)
--- a/egretworks/quotapool.py
+++ b/egretworks/quotapool.py
@@ -21,7 +21,7 @@
 GRANT_TIMEOUT_MS = 150.0
 # A request that was queued for longer on its way to the pool is dropped with its deposit.
 MAX_TRANSIT_MS = 100.0
-# Longest time outside of pools from the minting of a token to the request that is sent with it.
+# Longest time from the minting of a token to the request that uses it, apart from time in pools.
 MAX_LAG_MS = MAX_MINTED_MS + MAX_TRANSIT_MS + GRANT_TIMEOUT_MS
 # Share of the slack that pools keep as tokens. The rest covers clocks of different speeds.
 KEPT_SLACK_SHARE = 0.8
@@ -31,15 +31,16 @@
 FILLED_SHARE = 1 / 7
 # Tokens of a team are kept in up to about this many slots by age; a slot expires as a whole.
 SLOTS = 16
-# A fraction of a token, so that rounding errors don't withhold a whole one.
+# Tolerance in tokens, as rounding errors would otherwise withhold a whole one.
 EPSILON = 1e-6
+# Time over which the rate of deposits is measured.
 RATE_WINDOW_MS = 1_000.0
 
 LimitedTeams = Callable[[], Mapping[str, MeshTeam]]
 
 
 class QuotaBounds(msgspec.Struct, frozen=True):
-    """Limit a team's requests in each window to its quota, and a share and a number in addition."""
+    """Bound a team's requests in each window: its quota, plus a share of it and a fixed number."""
 
     window_ms: float
     overshoot: float
@@ -57,7 +58,7 @@
 
 
 class _Slot(msgspec.Struct):
-    # When the oldest of the tokens came.
+    # When the oldest of the tokens came into the pool.
     since: Millis
     tokens: float
 
@@ -68,7 +69,7 @@
     def __init__(self, team: MeshTeam, bounds: QuotaBounds, now: Millis) -> None:
         self._slots: list[_Slot] = []
         self._tokens = 0.0
-        # Until when the coming tokens are promised to callers that were refused.
+        # Tokens deposited until then are promised to callers that were refused.
         self._promised_until = now
         # Tokens deposited since the rate was last measured.
         self._measured_since = now
@@ -84,7 +85,7 @@
         self._drop_excess()
 
     def deposit(self, tokens: float, now: Millis) -> None:
-        """Add tokens minted just now."""
+        """Add newly minted tokens, and measure the rate of deposits."""
         self._measured_tokens += tokens
         if now - self._measured_since >= RATE_WINDOW_MS:
             self._rate_per_ms = self._measured_tokens / (now - self._measured_since)
@@ -92,7 +93,7 @@
         self.add(tokens, now)
 
     def add(self, tokens: float, now: Millis) -> None:
-        """Add tokens that are as good as new."""
+        """Add tokens that expire after the full lifetime."""
         slots = self._slots
         if slots and now - slots[-1].since < self._lifetime_ms / SLOTS:
             slots[-1].tokens += tokens
@@ -167,8 +168,8 @@
 class QuotaPools:
     """Keep the pools that other daemons, or this one, choose this daemon for.
 
-    Whoever asks is served: deposits pay for all that is handed out, so it does no harm if two
-    daemons keep the same pool.
+    Requests from all daemons are served. Only deposited tokens are handed out, so the bound also
+    holds while two daemons keep the same pool.
     """
 
     def __init__(self, limited_teams: LimitedTeams, bounds: Callable[[], QuotaBounds]) -> None:
--- a/egretworks/quotashare.py
+++ b/egretworks/quotashare.py
@@ -18,7 +18,8 @@
 # Longest time that a daemon mints at once; what it did not deposit by then is lost. Part of the
 # bound, see `quotapool.MAX_LAG_MS`.
 MAX_MINTED_MS = 450.0
-# A daemon whose count of daemons has just changed after its start does not know all of them yet.
+# A started daemon mints only once its count of daemons has not changed for this long: until then it
+# may not know all of them.
 STABLE_MS = 300
 # A leaving daemon is counted for this long, since it may be back before its new row arrives.
 LEAVING_COUNTED_MS = 10_000
--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -1,4 +1,4 @@
-"""Decide how a new version of a service is brought in: stages, evidence, verdict and bounds.
+"""Decide the stages of a rollout: judge the evidence and bound the requests to the new version.
 
 See docs/design/ROLLOUTS.md. Nothing here does I/O; times are milliseconds of the caller's clock.
 """
@@ -43,11 +43,11 @@
 # Time until the answers of a trial are judged: a trial lasts for less than a second at full rate.
 TRIAL_MS = 1_200.0
 MIN_TRIAL_MS = 600.0
-# A version that can't be moved to by this part of the duration is rolled back.
+# A version is rolled back if requests can't move to it by this part of the duration.
 GIVE_UP_AT = 0.85
-# A canary has this part of the new targets, and at least so many: the median of their times must
-# not be that of a slow machine, and each of many gets too little load to show how the version works
-# under load.
+# Share and lowest number of the new targets that are canaries. With fewer, one slow machine could
+# determine the median of their times; with more, each gets too little load to show how the version
+# works under load.
 CANARY_PART = 0.25
 MIN_CANARIES = 4
 # New targets need this part of the old ones' slots before all requests move to them.
@@ -61,16 +61,17 @@
 HOLD_BEFORE_MS = 2_000.0
 # The status is written this long before the deadline, even if an old gate isn't known to be empty.
 WRITE_BEFORE_MS = 1_000.0
-# A trial begins only after so long a canary, also where a new leader has taken over.
+# Shortest canary before a trial, also after another leader has taken over.
 LEARNING_MS = 1_000.0
-# All requests move to the new version only after so many answers, or this share of the requests if
-# there are few.
+# All requests move to the new version only after this number of answers, or this share of the
+# requests if that is fewer.
 MIN_ANSWERS = 10
 MIN_ANSWERS_SHARE = 0.02
-# Recent answers are judged over this time too, so that earlier good ones hide no later fault.
+# Answers within this time are also judged alone, so that earlier good ones hide no later fault.
 RECENT_MS = 3_000.0
 # The same while all requests go to the version: earlier answers say little about it at full load.
 RECENT_AT_LOAD_MS = 800.0
+# Shortest time between the snapshots from which recent answers are computed.
 SNAPSHOT_MS = 200.0
 # Shortest time between judgements before the trial; one takes 6 ms with 78 targets and 8 routes.
 JUDGE_MS = 300.0
@@ -136,9 +137,9 @@
         self._allowed = {(quota.daemon, quota.incarnation): quota.allowed for quota in stage.quotas}
         self._snapshots: deque[tuple[Millis, EvidenceTable]] = deque()
         self._judged_at = Millis(now - JUDGE_MS)
-        # Since when the answers have always been far slower than those of the old version.
+        # Start of the present period in which answers are far slower than those of the old version.
         self._slow_since: Millis | None = None
-        # What the last change of the step was decided by.
+        # Reason for the last change of the step.
         self.reason = ""
 
     @property
@@ -148,7 +149,7 @@
 
     @property
     def runs(self) -> int:
-        """Return how many requests new targets have run, as far as is reported."""
+        """Return how many requests new targets have reported that they have run."""
         return sum(report.runs for report in self._reports.values() if report.is_new)
 
     def add(self, report: RolloutEvidence, now: Millis) -> None:
@@ -172,7 +173,7 @@
             return None
         new = [target for target in targets if target.version == self.stage.target_version]
         old = [target for target in targets if target.version != self.stage.target_version]
-        verdict = self._verdict(now) if may_go_back and self._is_judged(now) else ""
+        verdict = self._verdict(now) if may_go_back and self._begin_judgement(now) else ""
         if verdict:
             step, self.reason = RolloutStep.ROLLED_BACK, verdict
         else:
@@ -210,7 +211,7 @@
         return True
 
     def end(self, step: RolloutStep, now: Millis, reason: str) -> RolloutStage:
-        """Return the stage of an order that has ended."""
+        """End the order at `step`, and return its last stage."""
         self.reason = reason
         return self._issue(now, step, [])
 
@@ -228,9 +229,9 @@
             self._snapshots.append((now, table))
         while len(self._snapshots) > 1 and now - self._snapshots[1][0] >= RECENT_MS:
             self._snapshots.popleft()
-        tables = [table, self._since(now - RECENT_MS, table)]
+        tables = [table, self._added_since(now - RECENT_MS, table)]
         if self.stage.step >= RolloutStep.TRIAL:
-            tables.append(self._since(now - RECENT_AT_LOAD_MS, table))
+            tables.append(self._added_since(now - RECENT_AT_LOAD_MS, table))
         failing = next(filter(None, map(find_failing, tables)), "")
         if failing:
             return failing
@@ -243,17 +244,17 @@
         lasts_ms = SLOW_LASTS_MS if self.stage.step < RolloutStep.TRIAL else SLOW_LASTS_AT_LOAD_MS
         return slow if now - self._slow_since >= lasts_ms else ""
 
-    def _is_judged(self, now: Millis) -> bool:
-        """Return whether the reports are judged now: reports are rarer before the trial."""
+    def _begin_judgement(self, now: Millis) -> bool:
+        """Return whether a judgement is due, less often before the trial, and record it."""
         if self.stage.step < RolloutStep.TRIAL and now - self._judged_at < JUDGE_MS:
             return False
         self._judged_at = now
         return True
 
-    def _since(self, at: float, table: EvidenceTable) -> EvidenceTable:
+    def _added_since(self, at: float, table: EvidenceTable) -> EvidenceTable:
         """Return what has been added to `table` since about `at`.
 
-        The old version is compared over the whole time: it may get nothing any more.
+        The old version is compared over the whole time: it may no longer get requests.
         """
         earlier = next(
             (taken for taken_at, taken in reversed(self._snapshots) if taken_at <= at),
@@ -326,10 +327,10 @@
 
     def _issue(self, now: Millis, step: RolloutStep, new: list[VersionTarget]) -> RolloutStage:
         if step in BOUNDED_STEPS:
-            self._grant(step, new)
+            self._allocate_quotas(step, new)
             quotas = [GateQuota(*key, allowed) for key, allowed in self._allowed.items()]
         else:
-            # They are the largest part of a stage, and none of these steps needs them.
+            # Quotas are the largest part of a stage, and none of these steps needs them.
             quotas = []
         self._stage_at = now
         self.stage = msgspec.structs.replace(
@@ -353,11 +354,11 @@
         extra = self._bounds.slack * CANARY_SLACK_PART / max(1.0, expected)
         return min(MAX_CANARY_SHARE, self._bounds.share * CANARY_SHARE_PART + extra)
 
-    def _grant(self, step: RolloutStep, new: list[VersionTarget]) -> None:
-        """Divide what the version may get until now among the gates of the new targets.
+    def _allocate_quotas(self, step: RolloutStep, new: list[VersionTarget]) -> None:
+        """Divide the requests that the version may have got by now among the gates of new targets.
 
-        What a gate has been granted stays its own, as it may have been used: so the sum holds
-        whatever becomes of the gate, the leader or the links.
+        A quota is never withdrawn, as it may have been used. So the sum stays within the bound even
+        if the gate, the leader or a link fails.
         """
         trial = step is RolloutStep.TRIAL
         share = self._bounds.share * (TRIAL_SHARE_PART if trial else CANARY_SHARE_PART)
@@ -367,7 +368,7 @@
         keys = [(target.daemon, target.incarnation) for target in gates]
         keys = [key for key in keys if key in self._allowed or len(self._allowed) < MAX_QUOTAS]
         while free > 0 and keys:
-            # One at a time to the gate that has most need.
+            # One at a time, to the gate with the smallest unused quota.
             key = min(keys, key=self._unused)
             self._allowed[key] = self._allowed.get(key, 0) + 1
             free -= 1
--- a/egretworks/rolloutcontrol.py
+++ b/egretworks/rolloutcontrol.py
@@ -1,4 +1,4 @@
-"""Bring in new versions of services: connect the decisions to the store, links, gate and callers.
+"""Roll out new versions of services: connect the decisions to the links, the gate and callers.
 
 One daemon leads: it watches the orders in the store, sums the reports of all daemons and sends
 each next stage. All daemons follow the newest stage that they have received. See
@@ -106,7 +106,7 @@
     # The gate of the local target
 
     def admits(self, target: VersionedTarget) -> bool:
-        """Return whether the local target may get another request."""
+        """Return whether the local target may be sent another request."""
         if not self.host.enabled():
             return True
         followed = self.followed_by_service.get(target.service)
@@ -163,7 +163,7 @@
 
     @staticmethod
     def _follow_version(target: VersionedTarget, followed: Followed) -> None:
-        """Count from the start if a target of another version has taken the place of the last."""
+        """Reset the evidence if the local target now has another version."""
         if followed.evidence_version != target.version:
             followed.evidence_version = target.version
             followed.evidence = GateEvidence()
@@ -190,7 +190,7 @@
         self._first_outdated = True
 
     def first_versions(self, service: ServiceName) -> frozenset[str]:
-        """Return the versions of `service` that were there first."""
+        """Return the versions that `service` started with."""
         if self._first_outdated:
             self._first_outdated = False
             self._first.update(self.host.rows.all_rows())
@@ -203,7 +203,7 @@
     # Frames of other daemons
 
     def on_link(self, peer: RolloutPeer) -> None:
-        """Give the newest stages to a daemon to which a link has been opened."""
+        """Send the newest stages to a daemon to which a link has been opened."""
         if peer.peer_protocol < ROLLOUT_PROTOCOL:
             return
         for followed in self.followed_by_service.values():
@@ -261,10 +261,10 @@
         age_ms = followed.stage.age_ms + self.host.clock.now() - followed.heard_at
         return msgspec.structs.replace(followed.stage, age_ms=age_ms)
 
-    # Work that is due from time to time
+    # Periodic work
 
     def tick(self, now: Millis) -> None:
-        """Report to the leaders, and lead what this daemon leads."""
+        """Report to the leaders, and advance the orders that this daemon leads."""
         if not self.host.enabled():
             return
         for service, followed in list(self.followed_by_service.items()):
--- a/egretworks/rolloutevidence.py
+++ b/egretworks/rolloutevidence.py
@@ -1,4 +1,4 @@
-"""Collect what shows which versions were there first and whether a new version is bad."""
+"""Find the versions that services started with, and judge the answers of new ones."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 from egretworks.rows import DaemonRow
 from egretworks.types import ServiceName
 
-# Failures that are always expected, as a share of the answers and as a number.
+# Failures that are expected even if the old version has none: a share of the answers, and a number.
 EXPECTED_FAILURE_SHARE = 0.01
 EXPECTED_FAILURES = 2.5
-# Failures beyond the expected ones by so many standard deviations are the version's.
+# A version fails if its failures exceed the expected ones by this many standard deviations.
 FAILURE_DEVIATIONS = 3.0
 # A version is bad if its answers take this many times as long. Targets of one version differ by
 # 1.7 times, and a cold one takes twice its time.
@@ -34,7 +34,6 @@
 FIRST_VERSIONS_MS = 3_000
 # Losses within this time are one fault: a target that ends breaks all its connections at once.
 LOSS_BURST_MS = 100.0
-
 # Shorter times count as this one: their logarithms would outweigh all others.
 MIN_TIME_MS = 0.5
 
@@ -64,7 +63,7 @@
         for service, born in self._born_by_service.items():
             present = self._present_by_service.get(service)
             if present and not present & _earliest(born):
-                # The first version is gone: what is left is used, as without a version.
+                # No target of the first versions is left, so all remaining versions count as first.
                 self._born_by_service[service] = {version: born[version] for version in present}
 
     def of(self, service: ServiceName) -> frozenset[str]:
@@ -81,7 +80,7 @@
     """Select a share of the requests, evenly over time."""
 
     def __init__(self, start: float) -> None:
-        """`start`, from 0 to 1, is random: else daemons with few requests would select none."""
+        """`start`, from 0 to 1, is random, as otherwise daemons with few requests select none."""
         self._sum = start
 
     def select(self, share: float) -> bool:
@@ -94,7 +93,7 @@
 
 
 class GateEvidence:
-    """Count what the local target runs and answers while an order runs."""
+    """Count the requests and answers of the local target since the order."""
 
     def __init__(self) -> None:
         self.runs = 0
--- a/egretworks/rolloutlead.py
+++ b/egretworks/rolloutlead.py
@@ -29,20 +29,20 @@
     from egretworks.rolloutcontrol import Rollouts
 
 ROLLOUT_KIND = "rollouts"
-# The store is asked for orders at most once in this time: its calls are priced.
+# The store is asked for orders at most once in this time, since its calls are priced.
 WATCH_INTERVAL_MS = 1_000
-# A daemon that has just started has no links, and would take itself for the leader: all daemons of
-# a mesh that starts would ask the store.
+# A daemon that has just started has no links and would elect itself, so that all daemons of a
+# starting mesh would ask the store.
 START_MS = 1_500
 # How often a daemon checks whether it has become the leader.
 ELECTION_POLL_MS = 200
-# Time that an order has probably been in the store before its leader has noticed it.
+# Estimated time from the write of an order until its leader reads it.
 NOTICE_MS = 500.0
 # A leader that has sent no stage for this long is replaced; it sends two a second.
 LEADER_SILENT_MS = 1_500.0
-# An order that is taken, but of which no stage has been received, has no leader after this time.
+# An order that was taken, but of which no stage arrives for this long, has no leader.
 NO_STAGE_MS = 1_500.0
-# The same order is taken up in the middle by a leader that doesn't know when it was given.
+# A new leader that doesn't know the age of such an order assumes this part of the duration.
 UNKNOWN_AGE_PART = 0.5
 WRITE_RETRY_MS = 400.0
 # How often a leader decides; each time takes some milliseconds in a large mesh.
@@ -57,8 +57,8 @@
 log = logging.getLogger(__name__)
 
 
-class _Ordered(msgspec.Struct):
-    """An order as it was last read."""
+class _StoredOrder(msgspec.Struct):
+    """Hold an order as it was last read."""
 
     order: RolloutOrder
     # None if the object has to be read before its status can be written.
@@ -67,7 +67,7 @@
 
 
 class WriteResult(Enum):
-    """What is known of the write of a status."""
+    """Tell what is known of the write of a status."""
 
     WRITTEN = "written"
     # Another write came first.
@@ -84,7 +84,7 @@
         self.host = host
         self._rollouts = rollouts
         self._lead_at = Millis(0)
-        self._ordered_by_service: dict[ServiceName, _Ordered] = {}
+        self._ordered_by_service: dict[ServiceName, _StoredOrder] = {}
         self._plan_by_service: dict[ServiceName, RolloutPlan] = {}
         # Status writes under way, and when a failed one is repeated.
         self._writing: dict[ServiceName, RolloutPhase] = {}
@@ -102,7 +102,7 @@
         own = self.host.rows.own
         reachable = self.host.links().reachable_rows()
         if not reachable and self.host.rows.size > 1:
-            # It is cut off, or its links are not up yet.
+            # This daemon is partitioned from the others, or its links are not up yet.
             return False
         rows = [row for row in (own, *reachable) if not row.leaving]
         able = [row for row in rows if row.store_reachable] or rows
@@ -118,7 +118,7 @@
         return True
 
     def yield_to(self, stage: RolloutStage) -> None:
-        """Lead an order no longer after another daemon has sent a newer stage of it."""
+        """Stop leading an order of which another daemon has sent a newer stage."""
         if stage.leader == self.host.rows.own.id:
             return
         if self._plan_by_service.pop(ServiceName(stage.service), None) is not None:
@@ -162,7 +162,7 @@
                 seen_at = self.host.clock.now()
         else:
             seen_at = self.host.clock.now()
-        self._ordered_by_service[service] = _Ordered(order, revision, seen_at)
+        self._ordered_by_service[service] = _StoredOrder(order, revision, seen_at)
 
     def _on_deleted(self, service: ServiceName) -> None:
         self._ordered_by_service.pop(service, None)
@@ -172,7 +172,7 @@
             self._publish(plan.end(RolloutStep.ROLLED_BACK, now, "the order was deleted"))
 
     def tick(self, now: Millis) -> None:
-        """Lead what this daemon leads."""
+        """Take up due orders if this daemon is elected, and advance those that it leads."""
         if now < self._lead_at:
             return
         self._lead_at = Millis(now + LEAD_MS)
@@ -183,14 +183,14 @@
             return
         if self.is_leader():
             for service, ordered in list(self._ordered_by_service.items()):
-                self._consider(service, ordered, now)
+                self._reconcile(service, ordered, now)
             for service, followed in list(self._rollouts.followed_by_service.items()):
                 self._take_over_if_silent(service, followed, now)
         for service, plan in list(self._plan_by_service.items()):
             self._advance(service, plan, now)
 
-    def _consider(self, service: ServiceName, ordered: _Ordered, now: Millis) -> None:
-        """Do what an order and its status call for, unless a write is under way."""
+    def _reconcile(self, service: ServiceName, ordered: _StoredOrder, now: Millis) -> None:
+        """Reconcile an order with its status and newest stage, unless a write is under way."""
         if service in self._writing or now < self._write_at.get(service, now):
             return
         order = ordered.order
@@ -200,7 +200,7 @@
         if order.phase in STEP_BY_PHASE:
             step = STEP_BY_PHASE[order.phase]
             if not known or stage.step is not step:
-                self._adopt_end(service, ordered, step, now)
+                self._adopt_final_status(service, ordered, step, now)
         elif known and stage.step in RUNNING_STEPS:
             return
         elif known and (order.phase is RolloutPhase.RUNNING or not self._is_newer(ordered, stage)):
@@ -208,17 +208,17 @@
         elif order.phase is None:
             self._write(service, RolloutPhase.RUNNING)
         elif now - ordered.seen_at >= NO_STAGE_MS:
-            # Another leader had taken it, and nobody has heard of its stages.
+            # Another leader took it, but no stage of it has arrived.
             self._start(service, ordered, now, knows_age=False)
 
     @staticmethod
-    def _is_newer(ordered: _Ordered, stage: RolloutStage) -> bool:
+    def _is_newer(ordered: _StoredOrder, stage: RolloutStage) -> bool:
         return ordered.revision is not None and ordered.revision > stage.order
 
-    def _adopt_end(
-        self, service: ServiceName, ordered: _Ordered, step: RolloutStep, now: Millis
+    def _adopt_final_status(
+        self, service: ServiceName, ordered: _StoredOrder, step: RolloutStep, now: Millis
     ) -> None:
-        """Follow a status that says that the order has ended."""
+        """Follow the status of an order that has ended."""
         self._plan_by_service.pop(service, None)
         self._maybe_completed.discard(service)
         stage = self._first_stage(service, ordered, now)
@@ -235,7 +235,12 @@
         self._publish(stage, reason="the status in the store")
 
     def _first_stage(
-        self, service: ServiceName, ordered: _Ordered, now: Millis, *, age_ms: float | None = None
+        self,
+        service: ServiceName,
+        ordered: _StoredOrder,
+        now: Millis,
+        *,
+        age_ms: float | None = None,
     ) -> RolloutStage:
         known = self._rollouts.followed_by_service.get(service)
         own = self.host.rows.own
@@ -263,7 +268,7 @@
         return known.current_versions
 
     def _start(
-        self, service: ServiceName, ordered: _Ordered, now: Millis, *, knows_age: bool
+        self, service: ServiceName, ordered: _StoredOrder, now: Millis, *, knows_age: bool
     ) -> None:
         bounds = self.host.bounds()
         age_ms = None
@@ -284,7 +289,7 @@
         self._publish(stage, reason="the order in the store")
 
     def _take_over_if_silent(self, service: ServiceName, followed: Followed, now: Millis) -> None:
-        """Lead an order whose leader sends no stages any more."""
+        """Take over an order whose leader can no longer lead or has stopped sending stages."""
         stage = followed.stage
         if stage.step not in RUNNING_STEPS or service in self._plan_by_service:
             return
@@ -406,11 +411,11 @@
             ended = found is phase and found in STEP_BY_PHASE
             return WriteResult.WRITTEN if ended else WriteResult.CONFLICT
         except PlatformError:
-            # The write may have taken effect although its answer was lost.
+            # The write may have been applied although its answer was lost.
             found = self._read_phase(service, version)
             return WriteResult.WRITTEN if found is phase else WriteResult.UNKNOWN
         order = msgspec.structs.replace(ordered.order, phase=phase)
-        self._ordered_by_service[service] = _Ordered(order, stored.revision, ordered.seen_at)
+        self._ordered_by_service[service] = _StoredOrder(order, stored.revision, ordered.seen_at)
         return WriteResult.WRITTEN
 
     def _read_phase(self, service: ServiceName, version: str) -> RolloutPhase | None:
@@ -474,7 +479,7 @@
 
     def _poll(self) -> None:
         if self._store.era != self._era:
-            # The store has come back from a copy, and may give revisions out again.
+            # The store was restored from a copy, and may assign the same revisions again.
             self._era, self._revision = self._store.era, None
         if self._revision is None:
             snapshot = self._store.list(ROLLOUT_KIND)
--- a/egretworks/rolloutlinks.py
+++ b/egretworks/rolloutlinks.py
@@ -10,7 +10,7 @@
 
 
 class RolloutPeer(Protocol):
-    """Send frames to another daemon that reads those of a rollout."""
+    """Send the frames of rollouts to one other daemon."""
 
     # The `LINK_PROTOCOL` of the peer; 0 until it is known.
     peer_protocol: int
@@ -20,7 +20,7 @@
 
 
 class RolloutLinks(Protocol):
-    """Send frames of a rollout to other daemons."""
+    """Send the frames of rollouts to the daemons that need them."""
 
     def reachable_rows(self) -> list[DaemonRow]:
         """Return the rows of the linked daemons that answer."""
@@ -39,7 +39,7 @@
 
 
 class VersionedDestination(Protocol):
-    """A destination whose target's version is known."""
+    """Describe a destination by the version of its target."""
 
     name: InstanceId
 
@@ -49,7 +49,7 @@
 
 
 class VersionedTarget(Protocol):
-    """The local target."""
+    """Describe the local target by its service and version."""
 
     service: ServiceName
     version: str
--- a/egretworks/rolloutorder.py
+++ b/egretworks/rolloutorder.py
@@ -10,7 +10,7 @@
 
 
 class RolloutPhase(Enum):
-    """State of an order as its status in the store tells it."""
+    """Name the state of an order in its status in the store."""
 
     RUNNING = "running"
     COMPLETED = "completed"
--- a/egretworks/rolloutstate.py
+++ b/egretworks/rolloutstate.py
@@ -1,4 +1,4 @@
-"""Hold what a daemon knows of the newest order for each service, and what rollouts use of it."""
+"""Define the state of an order that a daemon follows, and the parts of it that rollouts use."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class Followed(msgspec.Struct):
-    """What this daemon knows and counts of the newest order for a service."""
+    """Hold what this daemon knows and counts of the newest order for a service."""
 
     stage: RolloutStage
     heard_at: Millis
--- a/egretworks/teams.py
+++ b/egretworks/teams.py
@@ -11,8 +11,8 @@
 from egretworks.exceptions import ConfigInvalid
 from egretworks.types import TeamName
 
-# Digests are made under a secret of this process, so that neither they nor the time that a look-up
-# takes tell anything about a key.
+# HMAC secret of this process, so that neither a digest nor the duration of a look-up reveals
+# anything about a caller's key.
 _SECRET = os.urandom(32)
 
 KeyDigest = bytes
