Answer 503 to a request that got no quota token before its deadline

Cause: its deadline was answered 504, which promises nothing, although nothing had been sent. Measured: the new test of test_quotacalls.py fails before (504) and passes now; 114 tests of quotas, edge, teams and configuration pass.

--- a/egretworks/forwardedcall.py
+++ b/egretworks/forwardedcall.py
@@ -369,7 +369,10 @@
     def _on_deadline(self) -> None:
         if self._cancel_offer is not None:
             self._cancel_offer()
-        self._fail(AttemptTimeout("no answer before the deadline"))
+        if self._offer_number:
+            self._fail(AttemptTimeout("no answer before the deadline"))
+        else:
+            self._refuse(NOT_READY_RETRY_AFTER_MS, "no quota token before the deadline")
 
     def _refuse(self, suggested_ms: float, reason: str, error: CallError | None = None) -> None:
         """Answer that the request was not run, unless an earlier attempt may have run it.
--- a/tests/test_quotacalls.py
+++ b/tests/test_quotacalls.py
@@ -82,12 +82,12 @@
     def team_of(self, key, route):
         return self.team
 
-    def call(self, responses):
+    def call(self, responses, left_ms=1_000):
         self.mesh.kind_by_id[id := f"c{len(self.mesh.kind_by_id)}"] = "pay"
         headers = [
             (b"host", b"pool.example"),
             (b"x-egret-attempt-id", id.encode()),
-            (b"x-egret-deadline-ms", b"1000"),
+            (b"x-egret-deadline-ms", b"%d" % left_ms),
         ]
         request = Request("GET", b"/pay/", headers, b"", True)
         exchange = SimExchange(request, responses.append)
@@ -106,6 +106,16 @@
         self.mesh.time.call_later(50, self._tick)
 
 
+# Guards against a 504, after which a once-only request isn't repeated, for one that was never sent.
+def test_a_request_that_got_no_token_before_its_deadline_has_not_run(monkeypatch):
+    caller = Caller(monkeypatch, links={f"x{number}": FakeLink() for number in range(40)})
+    responses = []
+    caller.call(responses, left_ms=60)
+    caller.mesh.time.run_for(200)
+    assert [response.status for response in responses] == [503]
+    assert not caller.target.runs
+
+
 # Guards against requests over the quota that run, and against 429 without a time to return.
 def test_a_request_over_the_quota_gets_429_and_a_time_to_return(monkeypatch):
     caller = Caller(monkeypatch)
