Name the report intervals of roll-outs, and give reasons for some constants

Cause: the reader of the diff stumbled on bare numbers, on constants without a reason and on a wrong type in framequeue.py. Change: names, comments and annotations only.

--- a/egretworks/framequeue.py
+++ b/egretworks/framequeue.py
@@ -26,7 +26,7 @@
 
 class _QueuedFrame(msgspec.Struct, eq=False):
     kind: str
-    payload: bytes
+    payload: memoryview
     # Serial of the offer or outcome, None for other frames.
     serial: int | None
     stream: int
@@ -68,7 +68,7 @@
         # Bytes that `next_part` has not returned yet.
         self.waiting_bytes = 0
 
-    def add(self, kind: str, payload: bytes, serial: int | None = None) -> bool:
+    def add(self, kind: str, payload: memoryview, serial: int | None = None) -> bool:
         """Add an encoded frame, or return False if there is no memory for it.
 
         `serial` is that of an offer or outcome, and None for other frames. One of these that waits
@@ -138,7 +138,7 @@
         """Return whether a frame other than an offer or outcome waits."""
         return self._urgent_frames > 0
 
-    def _is_waiting(self, kind: str, payload: bytes) -> bool:
+    def _is_waiting(self, kind: str, payload: memoryview) -> bool:
         return self.urgent and any(
             frame.serial is None and frame.kind == kind and frame.payload == payload
             for frame in self._frames_by_stream.values()
--- a/egretworks/quotaclient.py
+++ b/egretworks/quotaclient.py
@@ -38,10 +38,12 @@
 # The same while tokens wait to be returned, since they expire.
 RETURN_MS = 200
 # A daemon that did not answer in time is not asked again for this long.
+# Meanwhile its pool fills at the next one; a return at once would lose what that has.
 AVOIDED_MS = 2_000
 # The same for a daemon to which the link was not up in time; it may be up soon.
 CONNECTING_AVOIDED_MS = 500
 # A request is sent to this many daemons before this daemon's own share is used.
+# Each costs `GRANT_TIMEOUT_MS` of the time that the caller has.
 MAX_ATTEMPTS = 2
 # Retry times are extended randomly by up to this share, so that callers that are refused together
 # don't retry together.
--- a/egretworks/quotashare.py
+++ b/egretworks/quotashare.py
@@ -12,6 +12,7 @@
 from egretworks.teams import MeshTeam
 from egretworks.types import InstanceId
 
+# Each daemon deposits in every pool, so that more pools mean more messages.
 POOLS = 4
 # A team is split over one more pool for each of these requests a second, up to all pools.
 RATE_PER_SHARD = 100.0
--- a/egretworks/rollout.py
+++ b/egretworks/rollout.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from egretworks.clock import MILLIS_PER_SECOND, Millis
+from egretworks.clock import Millis
 from egretworks.linkframes import (
     GateQuota,
     RolloutEvidence,
@@ -24,9 +24,11 @@
 
 # Share of the requests for the new version until its first answers are known.
 PROBE_SHARE = 0.02
+# A probe lasts for at least this long, and ends with so many answers or after the longest time: a
+# service with few requests must not use up its order's time.
 PROBE_MS = 1_000.0
-MAX_PROBE_MS = 2_500.0
 PROBE_ANSWERS = 5
+MAX_PROBE_MS = 2_500.0
 # Parts of the permitted share and slack that a canary uses. The rest is for the trial, and for
 # requests that the counts of the daemons don't show yet.
 CANARY_SHARE_PART = 0.5
@@ -40,6 +42,10 @@
 # old targets, the takeover by another leader and the write of the status.
 TRIAL_AT = 0.65
 MOVE_AT = 0.75
+# Intervals of the daemons' reports. At full load, a bad version has to be noticed within a few
+# hundred requests.
+CANARY_REPORT_MS = 500.0
+FULL_LOAD_REPORT_MS = 200.0
 # Time until the answers of a trial are judged: a trial lasts for less than a second at full rate.
 TRIAL_MS = 1_200.0
 MIN_TRIAL_MS = 600.0
@@ -396,5 +402,5 @@
 
 def report_interval_ms(step: RolloutStep) -> float:
     """Return how often daemons report while an order is at `step`."""
-    # At full load, a bad version has to be noticed within a few hundred requests.
-    return 500.0 if step in (RolloutStep.PROBE, RolloutStep.CANARY) else MILLIS_PER_SECOND / 5
+    is_canary = step in (RolloutStep.PROBE, RolloutStep.CANARY)
+    return CANARY_REPORT_MS if is_canary else FULL_LOAD_REPORT_MS
