Let only the configuration decide whether reads of the store prove anything

Change: the newest configuration that was read is remembered, and each read is judged by it. Measured: the new test of test_freshness.py fails before and passes now; 80 tests of freshness, the store's clients, teams and the spread of configurations pass.

--- a/egretworks/storeclients.py
+++ b/egretworks/storeclients.py
@@ -44,6 +44,8 @@
         self._revocation = revocation
         self._rollouts = rollouts
         self._random = random
+        # The newest configuration that this daemon has read in the store, valid or not.
+        self._newest_document: bytes | None = None
 
     @property
     def _config(self) -> ConfigHolder:
@@ -102,7 +104,7 @@
     def _apply_configs(self, objects: tuple[Stored, ...]) -> bool:
         """Apply the newest valid configuration in `objects` and send it within the data centre.
 
-        Returns whether the newest one is in force.
+        Returns whether the newest one that was read is in force; other objects change nothing.
         """
         documents = [
             stored for stored in objects if stored.name == CONFIG_NAME and not stored.deleted
@@ -111,4 +113,6 @@
             if self._config.apply(stored.document, f"store revision {stored.revision}"):
                 self._links.send_config()
                 break
-        return bool(documents) and self._config.has(documents[-1].document)
+        if documents:
+            self._newest_document = documents[-1].document
+        return self._newest_document is not None and self._config.has(self._newest_document)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -5,12 +5,15 @@
 import time
 
 import pytest
-from platformwire import team_document
+from linkpipes import FakeTimeline
+from platformwire import edge, team_document
 from processes import wait_for
 from simulation import SimClock, Simulation
 
+from egretworks.configholder import ConfigHolder
 from egretworks.freshness import ConfigFreshness, RevocationBound
-from egretworks.storesync import ConfigProofs
+from egretworks.storeclients import StoreClients
+from egretworks.storesync import ConfigProofs, Stored
 
 REVOKE_MS = 5_000
 TEAM = ["north", ["k1"], 0, None, None]
@@ -140,6 +143,24 @@
     assert proofs.needed()
 
 
+def store_clients(config):
+    links = type("Links", (), {"send_config": lambda self: None})()
+    return StoreClients(type("Host", (), {"config": config})(), links, None, None, None, None)
+
+
+# Guards against keys that stop working, as no read proves anything any more, once another object
+# beside the configuration has changed; and against proofs while the newest version is invalid.
+def test_only_the_configuration_decides_whether_reads_prove_anything():
+    config = ConfigHolder(edge().decode_config, FakeTimeline(), lambda: None)
+    apply = store_clients(config)._apply_configs
+    other = Stored("notes", 9, b"{}")
+    assert not apply((other,))
+    assert apply((Stored("main", 3, team_document(2, [TEAM])),))
+    assert apply((other,))
+    assert not apply((Stored("main", 10, b"{}"),))
+    assert not apply((other,))
+
+
 def keyed(daemon, key="k1"):
     return daemon.call("/give/x", method="POST", id=f"a{time.monotonic_ns()}", key=key)[0]
 
