--- a/review/standins2.py
+++ b/review/standins2.py
@@ -258,19 +258,20 @@
 class Backend:
     """A backend: runs each request for `work_s` and answers it with its own id and body."""
 
-    def __init__(self, mesh, machine, service, slots=12, id=None):
+    def __init__(self, mesh, machine, service, slots=12, id=None, born_s=None):
         self.mesh, self.machine, self.service, self.slots = mesh, machine, service, slots
         self.id = id or f"i-{random.randrange(16**8):08x}"
-        self.born = int(time.time() * 1_000)
+        self.born = int((born_s or time.time()) * 1_000)
         self.sequence = 0
         self.phase = "ready"
         self.work_s = 0.05
         self.runs = []
+        self.run_times = []
         self.stopped = False
         self.sockets = set()
         self.acknowledged = threading.Event()
-        self.listener = socket.create_server((machine.host, 0), backlog=128)
-        self.port = self.listener.getsockname()[1]
+        self.port = machine.app_port
+        self.listener = socket.create_server((machine.host, self.port), backlog=128)
         threading.Thread(target=self._accept, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
         mesh.record.add(f"backend {self.id} ({service}) starts beside {machine.name}")
@@ -304,15 +305,23 @@
                 self.acknowledged.set()
             time.sleep(HEARTBEAT_S if accepted else 0.2)
 
-    def leave(self):
-        """Drain, leave and exit, as before a planned shutdown."""
+    def announce_draining(self):
+        """Report `draining` until that is acknowledged."""
         self.acknowledged.clear()
         self.phase = "draining"
         if not self.acknowledged.wait(6):
             raise Unfit("the draining of a backend was not acknowledged")
         self.mesh.record.add(f"backend {self.id} is draining, which was acknowledged")
-        time.sleep(DRAIN_S + 0.5)
+
+    def deregister(self):
+        """Report that the backend leaves."""
         self._call("deregister", {"born": self.born})
+
+    def leave(self):
+        """Drain, leave and exit, as before a planned shutdown."""
+        self.announce_draining()
+        time.sleep(DRAIN_S + 0.5)
+        self.deregister()
         self.exit()
 
     def exit(self):
@@ -366,6 +375,7 @@
 
     def _run(self, sock, method, url, id, headers, body):
         self.runs.append(id)
+        self.run_times.append(time.monotonic())
         self.mesh.runs.append((id, self.id, method, url, headers, body))
         self.mesh.record.add(f"backend {self.id} runs {id}: {method} {url} {body[:60]!r}")
         time.sleep(self.work_s)
@@ -394,6 +404,7 @@
         self.outbound, self.inbound, self.ready, self.control = (
             free_port(self.host) for _ in range(4)
         )
+        self.app_port = free_port(self.host)
         self.log = mesh.folder / f"{self.name}.log"
         self.settings = mesh.folder / f"{self.name}.toml"
         self.fields = self._fields() | fields
@@ -410,7 +421,7 @@
             "zone": self.zone,
             "region": "zagreb",
             "firstStart": True,
-            "appAddr": f"{self.host}:8628",
+            "appAddr": f"{self.host}:{self.app_port}",
             "service": self.service,
             "limits": {"memoryMb": 300, "maxFds": 4_100, "linkMbps": 1_000.0},
             "internalPortRange": [LINK_PORT, LINK_PORT + 15],
